--- a/authority/accept.go
+++ b/authority/accept.go
@@ -6,13 +6,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 // accept writes the body and the audit record and then swaps the head. The
 // successful swap is the moment of acceptance.
-func (a *Authority) accept(ctx context.Context, r *request, head Head, revision platform.Revision, next prepared) (Accepted, error) {
+func (a *Authority) accept(ctx context.Context, r *request, head Head, revision kvstore.Revision, next prepared) (Accepted, error) {
 	garbage := a.findGarbage(ctx, head, next.version)
 	written, err := a.writeBody(ctx, next.digest, next.body)
 	if err != nil {
@@ -81,7 +81,7 @@
 
 // swapHead writes the head. errRaceLost asks for another attempt: another
 // change was accepted, or the answer was lost and the head must be read again.
-func (a *Authority) swapHead(ctx context.Context, r *request, head Head, revision platform.Revision) error {
+func (a *Authority) swapHead(ctx context.Context, r *request, head Head, revision kvstore.Revision) error {
 	data, err := encode(head)
 	if err != nil {
 		return err
@@ -90,9 +90,9 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kvstore.ErrConflict):
 		return errors.Mark(err, errRaceLost)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, kvstore.ErrUnavailable), errors.Is(err, kvstore.ErrRateLimited):
 		return translate(err, "swap the head")
 	}
 	// Every other error, the end of the context included, leaves it open whether
--- a/authority/authority.go
+++ b/authority/authority.go
@@ -9,9 +9,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 // Defaults of Options.
@@ -44,7 +44,7 @@
 // Authority reads and changes the versions in the store. It is safe for
 // concurrent use. Reads are as consistent as the store's Get.
 type Authority struct {
-	store   platform.Store
+	store   kvstore.Store
 	options Options
 	// cached holds the last version that was read or accepted. Bodies are named
 	// by their digest, so it can never be stale.
@@ -68,7 +68,7 @@
 }
 
 // New returns an authority over the store.
-func New(store platform.Store, options Options) *Authority {
+func New(store kvstore.Store, options Options) *Authority {
 	if options.Now == nil {
 		options.Now = time.Now
 	}
@@ -92,9 +92,9 @@
 
 // Head returns the accepted version and the revision of the head. A store
 // without a version gives the zero Head and revision zero.
-func (a *Authority) Head(ctx context.Context) (Head, platform.Revision, error) {
+func (a *Authority) Head(ctx context.Context) (Head, kvstore.Revision, error) {
 	entry, err := a.store.Get(ctx, keyHead)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return Head{}, 0, nil
 	}
 	if err != nil {
@@ -107,7 +107,7 @@
 // WatchHead waits until the revision of the head is higher than after. A head
 // that was deleted gives the zero Head. ErrCorrupt comes with the revision, so
 // that the caller can wait for the next one.
-func (a *Authority) WatchHead(ctx context.Context, after platform.Revision) (Head, platform.Revision, error) {
+func (a *Authority) WatchHead(ctx context.Context, after kvstore.Revision) (Head, kvstore.Revision, error) {
 	entry, err := a.store.Watch(ctx, keyHead, after)
 	if err != nil {
 		return Head{}, after, translate(err, "watch the head")
--- a/authority/authority_test.go
+++ b/authority/authority_test.go
@@ -12,9 +12,9 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 func planKey(name string) lists.EntryKey {
@@ -348,11 +348,11 @@
 		f.Add(e.Value)
 	}
 	f.Fuzz(func(t *testing.T, value []byte) {
-		entry := platform.Entry{Key: "fuzz", Value: value}
+		entry := kvstore.Entry{Key: "fuzz", Value: value}
 		if head, err := decodeHead(entry); err == nil && (head.Chunks < 1 || len(head.Recent) == 0) {
 			t.Fatalf("accepted a head that contradicts itself: %+v", head)
 		}
-		_, _ = decode[Record](entry, platform.MaxValueBytes)
+		_, _ = decode[Record](entry, kvstore.MaxValueBytes)
 		_, _ = decode[Summary](entry, maxSmallValue)
 	})
 }
--- a/authority/body.go
+++ b/authority/body.go
@@ -6,9 +6,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 // writeAttempts is the number of times that a write before the head is tried
@@ -23,7 +23,7 @@
 	var body []byte
 	for i := range min(chunks, maxChunks) {
 		entry, err := a.store.Get(ctx, chunkKey(digest, i))
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, kvstore.ErrNotFound) {
 			return nil, errors.Wrapf(ErrVersionNotFound, "chunk %d of %s", i, digest.Short())
 		}
 		if err != nil {
@@ -40,8 +40,8 @@
 // writeBody writes every chunk of a body anew, also when the store has it
 // already, and returns the revisions by key. The new revisions keep a collector
 // from deleting the chunks: see collect.
-func (a *Authority) writeBody(ctx context.Context, digest mesh.Digest, body []byte) (map[string]platform.Revision, error) {
-	written := map[string]platform.Revision{}
+func (a *Authority) writeBody(ctx context.Context, digest mesh.Digest, body []byte) (map[string]kvstore.Revision, error) {
+	written := map[string]kvstore.Revision{}
 	for i := range chunkCount(len(body)) {
 		chunk := body[i*ChunkBytes : min((i+1)*ChunkBytes, len(body))]
 		key := chunkKey(digest, i)
@@ -54,8 +54,8 @@
 	return written, nil
 }
 
-func (a *Authority) writeChunk(ctx context.Context, key string, chunk []byte) (platform.Revision, error) {
-	var expected platform.Revision
+func (a *Authority) writeChunk(ctx context.Context, key string, chunk []byte) (kvstore.Revision, error) {
+	var expected kvstore.Revision
 	var failure error
 	for range writeAttempts {
 		revision, err := a.store.CompareAndSwap(ctx, key, chunk, expected)
@@ -63,7 +63,7 @@
 			return revision, nil
 		}
 		failure = err
-		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown) {
+		if !errors.Is(err, kvstore.ErrConflict) && !errors.Is(err, kvstore.ErrUnknown) {
 			break
 		}
 		if expected, err = a.chunkRevision(ctx, key, chunk); err != nil {
@@ -76,9 +76,9 @@
 
 // chunkRevision returns the revision of a chunk, zero when it is absent. A
 // chunk with another content than its name demands is never overwritten.
-func (a *Authority) chunkRevision(ctx context.Context, key string, want []byte) (platform.Revision, error) {
+func (a *Authority) chunkRevision(ctx context.Context, key string, want []byte) (kvstore.Revision, error) {
 	entry, err := a.store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
--- a/authority/codec.go
+++ b/authority/codec.go
@@ -9,9 +9,9 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/lo"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 // Keys of the store.
@@ -76,7 +76,7 @@
 }
 
 // decode reads a value of the store into a T.
-func decode[T any](entry platform.Entry, limit int) (T, error) {
+func decode[T any](entry kvstore.Entry, limit int) (T, error) {
 	var value T
 	if len(entry.Value) > limit {
 		return value, errors.Wrapf(ErrCorrupt, "%s has %d bytes, limit %d", entry.Key, len(entry.Value), limit)
@@ -87,7 +87,7 @@
 	return value, nil
 }
 
-func decodeHead(entry platform.Entry) (Head, error) {
+func decodeHead(entry kvstore.Entry) (Head, error) {
 	head, err := decode[Head](entry, maxSmallValue)
 	if err != nil {
 		return Head{}, err
--- a/authority/collect.go
+++ b/authority/collect.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 const (
@@ -34,7 +34,7 @@
 	garbage := leftovers{}
 	for _, key := range a.garbageKeys(ctx, head, next) {
 		entry, err := a.store.Get(ctx, key)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, kvstore.ErrNotFound) {
 			continue
 		}
 		if err != nil {
@@ -97,7 +97,7 @@
 			continue
 		}
 		_, err := a.store.CompareAndSwap(ctx, key, nil, garbage[key])
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, kvstore.ErrConflict) {
 			eventCollection.Log(a.options.Logger, "key", key, "error", err)
 			return
 		}
@@ -117,7 +117,7 @@
 		if !ok || sequence >= oldest {
 			continue
 		}
-		var entry platform.Entry
+		var entry kvstore.Entry
 		if entry, err = a.store.Get(ctx, key); err == nil {
 			_, err = a.store.CompareAndSwap(ctx, key, nil, entry.Revision)
 		}
--- a/authority/errors.go
+++ b/authority/errors.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
 // Errors of the authority. A refused change is also marked with the error of
@@ -37,14 +37,14 @@
 	}
 	err = errors.Wrapf(err, "authority: %s", action)
 	for _, kind := range []error{
-		platform.ErrUnavailable, platform.ErrRateLimited, platform.ErrUnknown,
+		kvstore.ErrUnavailable, kvstore.ErrRateLimited, kvstore.ErrUnknown,
 		context.Canceled, context.DeadlineExceeded,
 	} {
 		if errors.Is(err, kind) {
 			return errors.Mark(err, ErrStoreUnavailable)
 		}
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kvstore.ErrConflict) {
 		return errors.Mark(err, ErrContention)
 	}
 	return err
--- a/authority/fake_test.go
+++ b/authority/fake_test.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
 // fault is what the fake store does to one call.
@@ -28,8 +28,8 @@
 // every call, and before runs ahead of it, both outside the lock.
 type fakeStore struct {
 	mu       sync.Mutex
-	entries  map[string]platform.Entry
-	revision platform.Revision
+	entries  map[string]kvstore.Entry
+	revision kvstore.Revision
 	changed  chan struct{}
 	fault    func(ctx context.Context, op, key string) fault
 	calls    map[string]int
@@ -39,7 +39,7 @@
 }
 
 func newFake() *fakeStore {
-	return &fakeStore{entries: map[string]platform.Entry{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &fakeStore{entries: map[string]kvstore.Entry{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 func (s *fakeStore) begin(ctx context.Context, op, key string) (fault, error) {
@@ -50,42 +50,42 @@
 	s.mu.Lock()
 	s.calls[op]++
 	if f == unavailable {
-		return f, platform.ErrUnavailable
+		return f, kvstore.ErrUnavailable
 	}
 	return f, nil
 }
 
-func (s *fakeStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *fakeStore) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	_, err := s.begin(ctx, "get", key)
 	defer s.mu.Unlock()
 	if err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	if e := s.entries[key]; e.Value != nil {
 		return e, ctx.Err()
 	}
-	return platform.Entry{}, platform.ErrNotFound
+	return kvstore.Entry{}, kvstore.ErrNotFound
 }
 
-func (s *fakeStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Revision, error) {
+func (s *fakeStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected kvstore.Revision) (kvstore.Revision, error) {
 	f, err := s.begin(ctx, "cas", key)
 	defer s.mu.Unlock()
 	if err != nil || ctx.Err() != nil {
-		return 0, platform.ErrUnavailable
+		return 0, kvstore.ErrUnavailable
 	}
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+	if len(value) > kvstore.MaxValueBytes {
+		return 0, kvstore.ErrTooLarge
 	}
 	switch f {
 	case delayed:
 		s.late = append(s.late, func() { _, _ = s.write(key, value, expected) })
-		return 0, platform.ErrUnknown
+		return 0, kvstore.ErrUnknown
 	case lostBefore:
-		return 0, platform.ErrUnknown
+		return 0, kvstore.ErrUnknown
 	}
 	revision, err := s.write(key, value, expected)
 	if f == lostAfter && err == nil {
-		return 0, platform.ErrUnknown
+		return 0, kvstore.ErrUnknown
 	}
 	return revision, err
 }
@@ -99,16 +99,16 @@
 	next()
 }
 
-func (s *fakeStore) write(key string, value []byte, expected platform.Revision) (platform.Revision, error) {
+func (s *fakeStore) write(key string, value []byte, expected kvstore.Revision) (kvstore.Revision, error) {
 	current := s.entries[key]
 	if current.Value == nil {
 		current.Revision = 0
 	}
 	if current.Revision != expected {
-		return 0, platform.ErrConflict
+		return 0, kvstore.ErrConflict
 	}
 	s.revision++
-	s.entries[key] = platform.Entry{Key: key, Value: value, Revision: s.revision}
+	s.entries[key] = kvstore.Entry{Key: key, Value: value, Revision: s.revision}
 	if s.written != nil {
 		s.written(key, value)
 	}
@@ -117,7 +117,7 @@
 	return s.revision, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, key string, after platform.Revision) (platform.Entry, error) {
+func (s *fakeStore) Watch(ctx context.Context, key string, after kvstore.Revision) (kvstore.Entry, error) {
 	for {
 		_, err := s.begin(ctx, "watch", key)
 		e, changed := s.entries[key], s.changed
@@ -127,7 +127,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Entry{}, ctx.Err()
+			return kvstore.Entry{}, ctx.Err()
 		case <-changed:
 		}
 	}
@@ -146,9 +146,9 @@
 	return keys[:min(limit, len(keys))], err
 }
 
-func (s *fakeStore) AcquireLease(context.Context, string, string, time.Duration) (platform.Lease, error) {
-	return platform.Lease{}, platform.ErrLeaseHeld
+func (s *fakeStore) AcquireLease(context.Context, string, string, time.Duration) (kvstore.Lease, error) {
+	return kvstore.Lease{}, kvstore.ErrLeaseHeld
 }
 
-func (s *fakeStore) RenewLease(context.Context, platform.Lease) error   { return platform.ErrLeaseLost }
-func (s *fakeStore) ReleaseLease(context.Context, platform.Lease) error { return nil }
+func (s *fakeStore) RenewLease(context.Context, kvstore.Lease) error   { return kvstore.ErrLeaseLost }
+func (s *fakeStore) ReleaseLease(context.Context, kvstore.Lease) error { return nil }
--- a/authority/propose.go
+++ b/authority/propose.go
@@ -7,9 +7,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 // Limits of a proposal's texts.
@@ -30,7 +30,7 @@
 	// swapped is the head's revision that the last swap with a lost answer
 	// expected, of this call or an earlier one with the same change ID. While the
 	// head still has it, the swap may take effect.
-	swapped   platform.Revision
+	swapped   kvstore.Revision
 	uncertain bool
 	// searched is the sequence up to which the audit trail has been searched for
 	// the change ID.
@@ -40,7 +40,7 @@
 }
 
 // leftovers are keys that no accepted version uses, with their revisions.
-type leftovers map[string]platform.Revision
+type leftovers map[string]kvstore.Revision
 
 // Propose makes the edits on the latest version and accepts the result as a new
 // version. Proposing again with the same change ID and edits is idempotent: it
--- a/authority/record.go
+++ b/authority/record.go
@@ -5,22 +5,22 @@
 
 	"github.com/cockroachdb/errors"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 // readRecord returns the audit record that a change wrote for a sequence. It
 // proves nothing about acceptance: a change that lost the race wrote one, too.
-func (a *Authority) readRecord(ctx context.Context, sequence mesh.Sequence, change mesh.ChangeID) (Record, platform.Revision, error) {
+func (a *Authority) readRecord(ctx context.Context, sequence mesh.Sequence, change mesh.ChangeID) (Record, kvstore.Revision, error) {
 	entry, err := a.store.Get(ctx, changeKey(sequence, change))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return Record{}, 0, errors.Wrapf(ErrVersionNotFound, "audit record of %d", sequence)
 	}
 	if err != nil {
 		return Record{}, 0, translate(err, "read an audit record")
 	}
-	record, err := decode[Record](entry, platform.MaxValueBytes)
+	record, err := decode[Record](entry, kvstore.MaxValueBytes)
 	return record, entry.Revision, err
 }
 
@@ -30,13 +30,13 @@
 // the edits of this one. existed tells that there was a record, also when an
 // error is returned. ErrChangeReused means that the change ID was used for
 // this sequence with other content.
-func (a *Authority) writeRecord(ctx context.Context, record Record) (_ Record, _ platform.Revision, existed bool, _ error) {
+func (a *Authority) writeRecord(ctx context.Context, record Record) (_ Record, _ kvstore.Revision, existed bool, _ error) {
 	data, err := encode(record)
 	if err != nil {
 		return Record{}, 0, existed, err
 	}
 	key := changeKey(record.Version.Sequence, record.Change.ID)
-	var expected platform.Revision
+	var expected kvstore.Revision
 	var failure error
 	for range writeAttempts {
 		revision, err := a.store.CompareAndSwap(ctx, key, data, expected)
@@ -44,8 +44,8 @@
 			return record, revision, existed, nil
 		}
 		failure = err
-		existed = existed || errors.Is(err, platform.ErrConflict)
-		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown) {
+		existed = existed || errors.Is(err, kvstore.ErrConflict)
+		if !errors.Is(err, kvstore.ErrConflict) && !errors.Is(err, kvstore.ErrUnknown) {
 			break
 		}
 		var found Record
--- a/authority/refuse.go
+++ b/authority/refuse.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
 // maxReasonBytes limits the text of a refusal's reason.
@@ -46,7 +46,7 @@
 	}
 	key := refusedKey(slot)
 	entry, err := a.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, kvstore.ErrNotFound) {
 		return err
 	}
 	_, err = a.store.CompareAndSwap(ctx, key, data, entry.Revision)
@@ -58,7 +58,7 @@
 	var err error
 	for range writeAttempts {
 		var slot uint64
-		var entry platform.Entry
+		var entry kvstore.Entry
 		if slot, entry, err = a.refusalCount(ctx); err != nil {
 			return 0, err
 		}
@@ -66,17 +66,17 @@
 		if _, err = a.store.CompareAndSwap(ctx, keyRefusedNext, next, entry.Revision); err == nil {
 			return slot, nil
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, kvstore.ErrConflict) {
 			break
 		}
 	}
 	return 0, err
 }
 
-func (a *Authority) refusalCount(ctx context.Context) (uint64, platform.Entry, error) {
+func (a *Authority) refusalCount(ctx context.Context) (uint64, kvstore.Entry, error) {
 	entry, err := a.store.Get(ctx, keyRefusedNext)
-	if errors.Is(err, platform.ErrNotFound) {
-		return 0, platform.Entry{}, nil
+	if errors.Is(err, kvstore.ErrNotFound) {
+		return 0, kvstore.Entry{}, nil
 	}
 	if err != nil || len(entry.Value) != 8 {
 		return 0, entry, err
@@ -94,13 +94,13 @@
 	var refusals []Refusal
 	for i := range min(count, RefusedRecords, uint64(max(limit, 0))) {
 		entry, err := a.store.Get(ctx, refusedKey(count-1-i))
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, kvstore.ErrNotFound) {
 			continue
 		}
 		if err != nil {
 			return nil, translate(err, "read refusals")
 		}
-		refusal, err := decode[Refusal](entry, platform.MaxValueBytes)
+		refusal, err := decode[Refusal](entry, kvstore.MaxValueBytes)
 		if err != nil {
 			return nil, err
 		}
--- a/authority/restore.go
+++ b/authority/restore.go
@@ -6,9 +6,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 // Restore writes the fleet's version, with its sequence, to a store that holds
@@ -85,7 +85,7 @@
 		return Record{}, err
 	}
 	_, err = a.store.CompareAndSwap(ctx, changeKey(version.ID.Sequence, version.Change.ID), data, revision)
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, kvstore.ErrConflict) || errors.Is(err, kvstore.ErrUnknown) {
 		err = errors.Mark(err, errRaceLost)
 	}
 	return record, translate(err, "write an audit record")
--- a/authority/schedule_test.go
+++ b/authority/schedule_test.go
@@ -17,9 +17,9 @@
 	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 // A fixed seed gives every run the same cases; -rapid.seed overrides it.
@@ -293,7 +293,7 @@
 		if key != keyHead {
 			return
 		}
-		head, err := decodeHead(platform.Entry{Key: key, Value: value})
+		head, err := decodeHead(kvstore.Entry{Key: key, Value: value})
 		last := lo.LastOrEmpty(head.Recent)
 		if err != nil || last.Version.Sequence != mesh.Sequence(len(chain)+1) {
 			panic(fmt.Sprintf("version %d does not follow %d: %v", last.Version.Sequence, len(chain), err))
--- a/authority/summary.go
+++ b/authority/summary.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
 // maxDomains is the number of summaries that Summaries reads.
@@ -20,7 +20,7 @@
 		return err
 	}
 	for range writeAttempts {
-		var entry platform.Entry
+		var entry kvstore.Entry
 		if entry, err = a.readSummary(ctx, s); err != nil {
 			break
 		}
@@ -31,7 +31,7 @@
 		if err == nil {
 			return nil
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, kvstore.ErrConflict) {
 			break
 		}
 	}
@@ -39,10 +39,10 @@
 }
 
 // readSummary returns the entry that s may replace.
-func (a *Authority) readSummary(ctx context.Context, s Summary) (platform.Entry, error) {
+func (a *Authority) readSummary(ctx context.Context, s Summary) (kvstore.Entry, error) {
 	entry, err := a.store.Get(ctx, summaryKey(s.Domain))
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Entry{}, nil
+	if errors.Is(err, kvstore.ErrNotFound) {
+		return kvstore.Entry{}, nil
 	}
 	if err != nil {
 		return entry, err
@@ -66,7 +66,7 @@
 			continue
 		}
 		entry, err := a.store.Get(ctx, key)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, kvstore.ErrNotFound) {
 			continue
 		}
 		if err != nil {
--- a/bench/experiments/converge.go
+++ b/bench/experiments/converge.go
@@ -9,9 +9,9 @@
 	"geraniumnotch.example/geraniumnotch/authority"
 	"geraniumnotch.example/geraniumnotch/bench"
 	"geraniumnotch.example/geraniumnotch/emulator"
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 )
 
 func init() {
@@ -128,9 +128,9 @@
 	return nil
 }
 
-func watchOne(ctx context.Context, store platform.Store, a *arrivals, host mesh.HostID) {
+func watchOne(ctx context.Context, store kvstore.Store, a *arrivals, host mesh.HostID) {
 	reader := authority.New(store, authority.Options{})
-	var revision platform.Revision
+	var revision kvstore.Revision
 	for {
 		head, seen, err := reader.WatchHead(ctx, revision)
 		if err != nil {
--- a/bench/experiments/faults_test.go
+++ b/bench/experiments/faults_test.go
@@ -11,10 +11,10 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumnotch.example/geraniumnotch/emulator"
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 )
 
 // Guards against experiments that pass because the cut from the store cuts
@@ -31,9 +31,9 @@
 			}()
 			synctest.Wait()
 			s.cut()
-			So(errors.Is(<-ended, platform.ErrUnavailable), ShouldBeTrue)
+			So(errors.Is(<-ended, kvstore.ErrUnavailable), ShouldBeTrue)
 			_, err := s.CompareAndSwap(ctx, "key", []byte("a"), 0)
-			So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+			So(errors.Is(err, kvstore.ErrUnavailable), ShouldBeTrue)
 			s.heal()
 			_, err = s.CompareAndSwap(ctx, "key", []byte("a"), 0)
 			So(err, ShouldBeNil)
@@ -48,7 +48,7 @@
 			ctx := context.Background()
 			s := newHostStore(memory.New())
 			resume := s.pause()
-			got := make(chan platform.Entry, 1)
+			got := make(chan kvstore.Entry, 1)
 			go func() {
 				entry, _ := s.Watch(ctx, "key", 0)
 				got <- entry
--- a/bench/experiments/hoststore.go
+++ b/bench/experiments/hoststore.go
@@ -5,13 +5,13 @@
 	"sync"
 	"time"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
 // hostStore is the store as one host reaches it: the way to it can be cut, and
 // answers to watches can be held back, as a paused host holds them.
 type hostStore struct {
-	store platform.Store
+	store kvstore.Store
 
 	mu     sync.Mutex
 	link   context.Context
@@ -19,7 +19,7 @@
 	paused chan struct{}
 }
 
-func newHostStore(store platform.Store) *hostStore {
+func newHostStore(store kvstore.Store) *hostStore {
 	s := &hostStore{store: store}
 	s.link, s.sever = context.WithCancel(context.Background())
 	return s
@@ -66,7 +66,7 @@
 	var none T
 	link, _ := s.state()
 	if link.Err() != nil {
-		return none, platform.ErrUnavailable
+		return none, kvstore.ErrUnavailable
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -79,22 +79,22 @@
 }
 
 func throughWrite(ctx context.Context, s *hostStore, call func(context.Context) error) error {
-	_, err := through(ctx, s, platform.ErrUnknown, func(ctx context.Context) (struct{}, error) { return struct{}{}, call(ctx) })
+	_, err := through(ctx, s, kvstore.ErrUnknown, func(ctx context.Context) (struct{}, error) { return struct{}{}, call(ctx) })
 	return err
 }
 
-func (s *hostStore) Get(ctx context.Context, key string) (platform.Entry, error) {
-	return through(ctx, s, platform.ErrUnavailable, func(ctx context.Context) (platform.Entry, error) { return s.store.Get(ctx, key) })
+func (s *hostStore) Get(ctx context.Context, key string) (kvstore.Entry, error) {
+	return through(ctx, s, kvstore.ErrUnavailable, func(ctx context.Context) (kvstore.Entry, error) { return s.store.Get(ctx, key) })
 }
 
-func (s *hostStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Revision, error) {
-	return through(ctx, s, platform.ErrUnknown, func(ctx context.Context) (platform.Revision, error) {
+func (s *hostStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected kvstore.Revision) (kvstore.Revision, error) {
+	return through(ctx, s, kvstore.ErrUnknown, func(ctx context.Context) (kvstore.Revision, error) {
 		return s.store.CompareAndSwap(ctx, key, value, expected)
 	})
 }
 
-func (s *hostStore) Watch(ctx context.Context, key string, after platform.Revision) (platform.Entry, error) {
-	entry, err := through(ctx, s, platform.ErrUnavailable, func(ctx context.Context) (platform.Entry, error) {
+func (s *hostStore) Watch(ctx context.Context, key string, after kvstore.Revision) (kvstore.Entry, error) {
+	entry, err := through(ctx, s, kvstore.ErrUnavailable, func(ctx context.Context) (kvstore.Entry, error) {
 		return s.store.Watch(ctx, key, after)
 	})
 	if _, paused := s.state(); paused != nil {
@@ -107,19 +107,19 @@
 }
 
 func (s *hostStore) List(ctx context.Context, prefix string, limit int) ([]string, error) {
-	return through(ctx, s, platform.ErrUnavailable, func(ctx context.Context) ([]string, error) { return s.store.List(ctx, prefix, limit) })
+	return through(ctx, s, kvstore.ErrUnavailable, func(ctx context.Context) ([]string, error) { return s.store.List(ctx, prefix, limit) })
 }
 
-func (s *hostStore) AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (platform.Lease, error) {
-	return through(ctx, s, platform.ErrUnknown, func(ctx context.Context) (platform.Lease, error) {
+func (s *hostStore) AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (kvstore.Lease, error) {
+	return through(ctx, s, kvstore.ErrUnknown, func(ctx context.Context) (kvstore.Lease, error) {
 		return s.store.AcquireLease(ctx, name, holder, ttl)
 	})
 }
 
-func (s *hostStore) RenewLease(ctx context.Context, lease platform.Lease) error {
+func (s *hostStore) RenewLease(ctx context.Context, lease kvstore.Lease) error {
 	return throughWrite(ctx, s, func(ctx context.Context) error { return s.store.RenewLease(ctx, lease) })
 }
 
-func (s *hostStore) ReleaseLease(ctx context.Context, lease platform.Lease) error {
+func (s *hostStore) ReleaseLease(ctx context.Context, lease kvstore.Lease) error {
 	return throughWrite(ctx, s, func(ctx context.Context) error { return s.store.ReleaseLease(ctx, lease) })
 }
--- a/bench/experiments/orders.go
+++ b/bench/experiments/orders.go
@@ -16,8 +16,8 @@
 	"geraniumnotch.example/geraniumnotch/bench"
 	"geraniumnotch.example/geraniumnotch/bench/load"
 	"geraniumnotch.example/geraniumnotch/emulator"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 )
 
 func init() {
--- a/bench/experiments/outage.go
+++ b/bench/experiments/outage.go
@@ -8,7 +8,7 @@
 
 	"geraniumnotch.example/geraniumnotch/bench"
 	"geraniumnotch.example/geraniumnotch/emulator"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 )
 
 func init() {
--- a/bench/experiments/resources.go
+++ b/bench/experiments/resources.go
@@ -15,10 +15,10 @@
 	"geraniumnotch.example/geraniumnotch/bench"
 	"geraniumnotch.example/geraniumnotch/bench/load"
 	"geraniumnotch.example/geraniumnotch/emulator"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/node"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 func init() {
@@ -185,7 +185,7 @@
 	return id, put(ctx, m.Store, "head", encoded, revision)
 }
 
-func put(ctx context.Context, store platform.Store, key string, value []byte, expected platform.Revision) error {
+func put(ctx context.Context, store kvstore.Store, key string, value []byte, expected kvstore.Revision) error {
 	_, err := store.CompareAndSwap(ctx, key, value, expected)
 	return errors.Wrapf(err, "write %s", key)
 }
--- a/bench/standins.go
+++ b/bench/standins.go
@@ -12,9 +12,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"geraniumnotch.example/geraniumnotch/emulator"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
+	"geraniumnotch.example/geraniumnotch/kvstore/standin"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
-	"geraniumnotch.example/geraniumnotch/platform/standin"
 )
 
 type standinOptions struct {
--- a/claims/atmostonce_test.go
+++ b/claims/atmostonce_test.go
@@ -14,9 +14,9 @@
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
 
@@ -108,7 +108,7 @@
 	var claimers []*Claimer
 	for i := range scriptHosts {
 		c, err := New(Config{
-			Store:            &hookStore{Store: w.store, before: func(platform.CallKind, string) { w.pauseHost(i) }},
+			Store:            &hookStore{Store: w.store, before: func(kvstore.CallKind, string) { w.pauseHost(i) }},
 			MinBatchInterval: testInterval, Retention: scriptRetention, MaxFuture: time.Hour,
 			MaxSegmentBytes: segmentBytes,
 			Now:             func() time.Time { return time.Now().Add(skews[i]) },
--- a/claims/batch.go
+++ b/claims/batch.go
@@ -6,8 +6,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 // decision is what a plan foresees for one operation.
@@ -162,7 +162,7 @@
 func (s *shard) write(ch *chain, p *plan, d *draft) bool {
 	s.pace()
 	s.lastWrite = s.c.config.Now()
-	var revision platform.Revision
+	var revision kvstore.Revision
 	err := s.call(func(ctx context.Context) (err error) {
 		revision, err = s.c.config.Store.CompareAndSwap(ctx, s.id.segmentKey(ch.bucket, d.number), d.encode(), d.revision)
 		return err
@@ -180,13 +180,13 @@
 
 func (s *shard) writeFailed(p *plan, d *draft, err error) {
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kvstore.ErrConflict):
 		d.stale, d.contended = true, true
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, kvstore.ErrUnknown):
 		// Reading back shows whether the nonces are there.
 		d.stale = true
 		p.markWritten(d)
-	case errors.IsAny(err, platform.ErrUnavailable, platform.ErrRateLimited):
+	case errors.IsAny(err, kvstore.ErrUnavailable, kvstore.ErrRateLimited):
 		s.failed(err)
 	default:
 		d.stale = true
--- a/claims/chain.go
+++ b/claims/chain.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
 // ErrBucketFull means that all segments of a bucket are full.
@@ -108,7 +108,7 @@
 // read replaces a segment by what the store holds.
 func (s *shard) read(ch *chain, seg *segment) error {
 	key := s.id.segmentKey(ch.bucket, seg.number)
-	var e platform.Entry
+	var e kvstore.Entry
 	err := s.call(func(ctx context.Context) (err error) {
 		e, err = s.c.get(ctx, key)
 		return err
@@ -165,7 +165,7 @@
 }
 
 // storedFloor returns the floor in the store and its revision.
-func (c *Claimer) storedFloor(ctx context.Context, id ShardID) (Bucket, platform.Revision, error) {
+func (c *Claimer) storedFloor(ctx context.Context, id ShardID) (Bucket, kvstore.Revision, error) {
 	e, err := c.get(ctx, id.floorKey())
 	if err != nil || e.Revision == 0 {
 		return 0, 0, err
@@ -175,10 +175,10 @@
 }
 
 // get returns the entry of key, with revision zero if the key is absent.
-func (c *Claimer) get(ctx context.Context, key string) (platform.Entry, error) {
+func (c *Claimer) get(ctx context.Context, key string) (kvstore.Entry, error) {
 	e, err := c.config.Store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Entry{Key: key}, nil
+	if errors.Is(err, kvstore.ErrNotFound) {
+		return kvstore.Entry{Key: key}, nil
 	}
 	return e, err
 }
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -18,8 +18,8 @@
 	"github.com/hashicorp/go-hclog"
 	"go.opentelemetry.io/otel/metric"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 // Defaults of Config. The batch interval keeps the 64 shards of one failure
@@ -44,7 +44,7 @@
 
 // Config configures a Claimer. Zero values mean the defaults.
 type Config struct {
-	Store platform.Store
+	Store kvstore.Store
 	// MinBatchInterval is the shortest time between two writes of a shard.
 	MinBatchInterval time.Duration
 	// MaxWait is the longest time that a claim waits for the store.
@@ -60,7 +60,7 @@
 	// MaxFuture is how far in the future a key's time of issue may lie.
 	MaxFuture time.Duration
 	// MaxSegmentBytes is the size at which a segment is sealed and the next one
-	// of its bucket begins. It must leave room below platform.MaxValueBytes.
+	// of its bucket begins. It must leave room below kvstore.MaxValueBytes.
 	MaxSegmentBytes int
 	// MaxSegments is the number of segments of a bucket.
 	MaxSegments int
@@ -120,8 +120,8 @@
 	switch {
 	case c.Store == nil:
 		return errors.Wrap(ErrConfig, "no store")
-	case c.MaxSegmentBytes < headerBytes+entryBytes, c.MaxSegmentBytes > platform.MaxValueBytes/2:
-		return errors.Wrapf(ErrConfig, "segment size %d, want at most %d bytes", c.MaxSegmentBytes, platform.MaxValueBytes/2)
+	case c.MaxSegmentBytes < headerBytes+entryBytes, c.MaxSegmentBytes > kvstore.MaxValueBytes/2:
+		return errors.Wrapf(ErrConfig, "segment size %d, want at most %d bytes", c.MaxSegmentBytes, kvstore.MaxValueBytes/2)
 	}
 	return nil
 }
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -12,9 +12,9 @@
 	"github.com/samber/lo"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 )
 
 // TestDoubleUse guards against a key that is granted twice, at one writer or at
@@ -231,7 +231,7 @@
 	for _, interval := range []time.Duration{testInterval, DefaultMinBatchInterval} {
 		for _, writers := range []int{1, 8} {
 			b.Run(fmt.Sprintf("interval=%s/writers=%d", interval, writers), func(b *testing.B) {
-				store := platform.Counting(memory.New(memory.WithFaults(memory.Faults{Latency: time.Millisecond})))
+				store := kvstore.Counting(memory.New(memory.WithFaults(memory.Faults{Latency: time.Millisecond})))
 				benchmarkClaims(b, store, lo.Times(writers, func(int) claimFunc {
 					c, _ := New(Config{Store: store, MinBatchInterval: interval, MaxWait: time.Minute})
 					return c.Claim
@@ -243,7 +243,7 @@
 
 type claimFunc = func(context.Context, Request) (*Claim, error)
 
-func benchmarkClaims(b *testing.B, store *platform.CountingStore, writers []claimFunc) {
+func benchmarkClaims(b *testing.B, store *kvstore.CountingStore, writers []claimFunc) {
 	var next, refused, waited atomic.Int64
 	begin := time.Now()
 	b.SetParallelism(200)
--- a/claims/cleanup.go
+++ b/claims/cleanup.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
 // cleanupBatch bounds the segments that one Clean deletes.
@@ -75,14 +75,14 @@
 // writer changed it or that another host deleted it; the next cleanup sees.
 func (c *Claimer) deleteSegment(ctx context.Context, key string) error {
 	e, err := c.config.Store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
 		return errors.Wrap(err, "claims: read expired segment")
 	}
 	_, err = c.config.Store.CompareAndSwap(ctx, key, nil, e.Revision)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kvstore.ErrConflict) {
 		return nil
 	}
 	return errors.Wrap(err, "claims: delete expired segment")
--- a/claims/domains_test.go
+++ b/claims/domains_test.go
@@ -11,9 +11,9 @@
 	"github.com/samber/lo"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 )
 
 // fleet is hosts in failure domains with one store, whose calls are counted and
@@ -21,7 +21,7 @@
 type fleet struct {
 	net     *network
 	routers []*Router
-	stores  []*platform.CountingStore
+	stores  []*kvstore.CountingStore
 	// dark and pause belong to hosts by number.
 	mu    sync.Mutex
 	dark  map[int]bool
@@ -30,7 +30,7 @@
 
 // darkStore is the store as a host sees it.
 type darkStore struct {
-	platform.Store
+	kvstore.Store
 	fleet *fleet
 	host  int
 }
@@ -41,19 +41,19 @@
 	d.fleet.mu.Unlock()
 	time.Sleep(pause)
 	if dark {
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	}
 	return nil
 }
 
-func (d darkStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (d darkStore) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	if err := d.wait(); err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	return d.Store.Get(ctx, key)
 }
 
-func (d darkStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Revision, error) {
+func (d darkStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected kvstore.Revision) (kvstore.Revision, error) {
 	if err := d.wait(); err != nil {
 		return 0, err
 	}
@@ -64,7 +64,7 @@
 	f := &fleet{dark: map[int]bool{}, pause: map[int]time.Duration{}}
 	store := newMemory()
 	claimers := lo.Times(hosts, func(i int) *Claimer {
-		f.stores = append(f.stores, platform.Counting(store))
+		f.stores = append(f.stores, kvstore.Counting(store))
 		return newClaimer(darkStore{f.stores[i], f, i}, nil)
 	})
 	var err error
@@ -103,7 +103,7 @@
 }
 
 func (f *fleet) writes() int64 {
-	return lo.SumBy(f.stores, func(s *platform.CountingStore) int64 { return int64(s.Counts().Writes()) })
+	return lo.SumBy(f.stores, func(s *kvstore.CountingStore) int64 { return int64(s.Counts().Writes()) })
 }
 
 // TestOneWriterPerShard guards against a number of writes that grows with the
@@ -333,8 +333,8 @@
 }
 
 // benchmarkDomains returns the writers of one host in each failure domain.
-func benchmarkDomains(b *testing.B, domains int) (*platform.CountingStore, []claimFunc) {
-	store := platform.Counting(memory.New(memory.WithFaults(memory.Faults{Latency: time.Millisecond})))
+func benchmarkDomains(b *testing.B, domains int) (*kvstore.CountingStore, []claimFunc) {
+	store := kvstore.Counting(memory.New(memory.WithFaults(memory.Faults{Latency: time.Millisecond})))
 	claimers := lo.Times(domains, func(int) *Claimer {
 		c, _ := New(Config{Store: store, MaxWait: time.Minute})
 		return c
--- a/claims/faults_test.go
+++ b/claims/faults_test.go
@@ -10,11 +10,11 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/httpstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
+	"geraniumnotch.example/geraniumnotch/kvstore/standin"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/httpstore"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
-	"geraniumnotch.example/geraniumnotch/platform/standin"
 )
 
 // TestLostAnswers guards against a claim that is refused or granted twice
@@ -103,7 +103,7 @@
 		blocked, woken := make(chan struct{}), make(chan struct{})
 		wake := sync.OnceFunc(func() { close(woken) })
 		Reset(wake)
-		creator := newClaimer(&hookStore{Store: store, before: func(_ platform.CallKind, key string) {
+		creator := newClaimer(&hookStore{Store: store, before: func(_ kvstore.CallKind, key string) {
 			if strings.HasSuffix(key, "floor") {
 				close(blocked)
 				<-woken
@@ -193,7 +193,7 @@
 		backing := memory.New(memory.WithFaults(memory.Faults{LostAnswerRatio: 0.3, LostRequestRatio: 0.3}))
 		server := httptest.NewServer(standin.New(backing, nil))
 		defer server.Close()
-		store, err := platform.Open(httpstore.AdapterName, server.Listener.Addr().String())
+		store, err := kvstore.Open(httpstore.AdapterName, server.Listener.Addr().String())
 		So(err, ShouldBeNil)
 		c, err := New(Config{Store: store, MinBatchInterval: time.Millisecond, MaxWait: time.Minute})
 		So(err, ShouldBeNil)
--- a/claims/helpers_test.go
+++ b/claims/helpers_test.go
@@ -9,9 +9,9 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 )
 
 // inBubble runs a test with the clock of testing/synctest, in which the store's
@@ -22,23 +22,23 @@
 
 // hookStore calls before ahead of each read and write of a key.
 type hookStore struct {
-	platform.Store
-	before func(kind platform.CallKind, key string)
+	kvstore.Store
+	before func(kind kvstore.CallKind, key string)
 }
 
-func (h *hookStore) Get(ctx context.Context, key string) (platform.Entry, error) {
-	h.before(platform.CallGet, key)
+func (h *hookStore) Get(ctx context.Context, key string) (kvstore.Entry, error) {
+	h.before(kvstore.CallGet, key)
 	return h.Store.Get(ctx, key)
 }
 
-func (h *hookStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Revision, error) {
-	h.before(platform.CallCompareAndSwap, key)
+func (h *hookStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected kvstore.Revision) (kvstore.Revision, error) {
+	h.before(kvstore.CallCompareAndSwap, key)
 	return h.Store.CompareAndSwap(ctx, key, value, expected)
 }
 
 const testInterval = 20 * time.Millisecond
 
-func newClaimer(store platform.Store, change func(*Config)) *Claimer {
+func newClaimer(store kvstore.Store, change func(*Config)) *Claimer {
 	config := Config{Store: store, MinBatchInterval: testInterval}
 	if change != nil {
 		change(&config)
--- a/claims/metrics.go
+++ b/claims/metrics.go
@@ -8,7 +8,7 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
 // instruments are the metrics of a Claimer.
@@ -50,9 +50,9 @@
 	switch {
 	case err == nil:
 		return "ok"
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kvstore.ErrConflict):
 		return "conflict"
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, kvstore.ErrUnknown):
 		return "unknown"
 	default:
 		return "failed"
--- a/claims/router_test.go
+++ b/claims/router_test.go
@@ -14,10 +14,10 @@
 	"github.com/samber/lo"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/membership"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
 
@@ -114,11 +114,11 @@
 func TestRouting(t *testing.T) {
 	inBubble(t, "Given two hosts, one of which owns the shard", func() {
 		ctx, backing := context.Background(), newMemory()
-		stores := []*platform.CountingStore{platform.Counting(backing), platform.Counting(backing)}
+		stores := []*kvstore.CountingStore{kvstore.Counting(backing), kvstore.Counting(backing)}
 		var slow [2]atomic.Bool
-		hosts := lo.Map(stores, func(store *platform.CountingStore, i int) *Claimer {
-			return newClaimer(&hookStore{Store: store, before: func(kind platform.CallKind, _ string) {
-				if kind == platform.CallGet && slow[i].Load() {
+		hosts := lo.Map(stores, func(store *kvstore.CountingStore, i int) *Claimer {
+			return newClaimer(&hookStore{Store: store, before: func(kind kvstore.CallKind, _ string) {
+				if kind == kvstore.CallGet && slow[i].Load() {
 					time.Sleep(time.Second)
 				}
 			}}, nil)
--- a/claims/segment.go
+++ b/claims/segment.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
 // The stored format of a segment: a header of version, flags and two zero
@@ -75,7 +75,7 @@
 // shard's worker.
 type segment struct {
 	number   int
-	revision platform.Revision
+	revision kvstore.Revision
 	raw      []byte
 	// index holds the offsets of the entries in raw.
 	index map[KeyHash]int
@@ -122,7 +122,7 @@
 
 // update replaces the content by what the store holds. An absent key has
 // revision zero and a nil value. It returns the number of lost entries.
-func (s *segment) update(raw []byte, revision platform.Revision) (lost int, err error) {
+func (s *segment) update(raw []byte, revision kvstore.Revision) (lost int, err error) {
 	if revision == 0 {
 		raw = newSegment(s.number).raw
 	}
@@ -222,7 +222,7 @@
 }
 
 // commit makes the changes the content of the segment.
-func (d *draft) commit(revision platform.Revision) {
+func (d *draft) commit(revision kvstore.Revision) {
 	for key, offset := range d.added {
 		d.index[key] = offset
 	}
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -20,10 +20,10 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumnotch.example/geraniumnotch/authority"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/operator"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 )
 
 type fakeNode struct{ domains []mesh.FailureDomain }
--- a/cmd/geraniumnotchd/main.go
+++ b/cmd/geraniumnotchd/main.go
@@ -6,7 +6,7 @@
 
 	"geraniumnotch.example/geraniumnotch/daemon"
 
-	_ "geraniumnotch.example/geraniumnotch/platform/httpstore"
+	_ "geraniumnotch.example/geraniumnotch/kvstore/httpstore"
 )
 
 func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/distribution/config.go
+++ b/distribution/config.go
@@ -16,17 +16,17 @@
 	"github.com/samber/lo"
 
 	"geraniumnotch.example/geraniumnotch/authority"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/membership"
-	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
 
 // Source reads accepted versions from the store; *authority.Authority is one.
 type Source interface {
-	Head(ctx context.Context) (authority.Head, platform.Revision, error)
+	Head(ctx context.Context) (authority.Head, kvstore.Revision, error)
 	Load(ctx context.Context, head authority.Head) (*lists.Version, error)
-	WatchHead(ctx context.Context, after platform.Revision) (authority.Head, platform.Revision, error)
+	WatchHead(ctx context.Context, after kvstore.Revision) (authority.Head, kvstore.Revision, error)
 }
 
 // Timing holds the intervals of a service. Zero values stand for the defaults.
@@ -86,7 +86,7 @@
 	// Source may be nil: the node then never reads the store.
 	Source Source
 	// Store holds leases and contacts. It may be nil, as Source may.
-	Store platform.Store
+	Store kvstore.Store
 	// Summaries writes convergence summaries; nil means that none are written.
 	Summaries SummaryWriter
 	Logger    hclog.Logger
--- a/distribution/holder.go
+++ b/distribution/holder.go
@@ -10,10 +10,10 @@
 
 	"geraniumnotch.example/geraniumnotch/authority"
 	"geraniumnotch.example/geraniumnotch/events"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/overlay"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 const (
@@ -106,7 +106,7 @@
 			continue
 		}
 		slot++
-		if !errors.Is(err, platform.ErrLeaseHeld) {
+		if !errors.Is(err, kvstore.ErrLeaseHeld) {
 			eventStore.Log(s.config.Logger, "call", "acquire lease", "error", err)
 		} else if slot < HoldersPerDomain {
 			continue
@@ -117,7 +117,7 @@
 	}
 }
 
-func (s *Service) acquire(slot int) (platform.Lease, error) {
+func (s *Service) acquire(slot int) (kvstore.Lease, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, storeTimeout)
 	defer cancel()
 	name := holderName(s.config.Self.Domain, slot)
@@ -125,7 +125,7 @@
 }
 
 // hold watches the head until the lease is lost.
-func (s *Service) hold(lease platform.Lease) {
+func (s *Service) hold(lease kvstore.Lease) {
 	eventHolding.Log(s.config.Logger, "lease", lease.Name)
 	ctx, cancel := context.WithCancel(s.ctx)
 	watched := make(chan struct{})
@@ -149,7 +149,7 @@
 }
 
 // release ends the lease so that another host can take it at once.
-func (s *Service) release(lease platform.Lease) {
+func (s *Service) release(lease kvstore.Lease) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), storeTimeout/3)
 	defer cancel()
 	if err := s.config.Store.ReleaseLease(ctx, lease); err != nil {
@@ -159,7 +159,7 @@
 
 // renew keeps the lease until it is lost, could not be renewed for its time to
 // live, the rank of the node is too high by far, or the service ends.
-func (s *Service) renew(lease platform.Lease) error {
+func (s *Service) renew(lease kvstore.Lease) error {
 	renewed := s.config.Clock()
 	s.keepContacts()
 	for s.pause(s.config.Timing.LeaseTTL / 2) {
@@ -173,7 +173,7 @@
 		case err == nil:
 			renewed = s.config.Clock()
 			s.keepContacts()
-		case errors.Is(err, platform.ErrLeaseLost):
+		case errors.Is(err, kvstore.ErrLeaseLost):
 			return err
 		case s.config.Clock().Sub(renewed) >= s.config.Timing.LeaseTTL:
 			return err
@@ -238,7 +238,7 @@
 
 // awaitHead waits for the next head and reads it again after headCheck, because
 // a store that lost writes has lower revisions, which end no watch.
-func (s *Service) awaitHead(ctx context.Context, revision platform.Revision) (authority.Head, platform.Revision, error) {
+func (s *Service) awaitHead(ctx context.Context, revision kvstore.Revision) (authority.Head, kvstore.Revision, error) {
 	watch, cancel := context.WithTimeout(ctx, headCheck)
 	defer cancel()
 	head, next, err := s.config.Source.WatchHead(watch, revision)
@@ -248,7 +248,7 @@
 	return head, next, err
 }
 
-func (s *Service) readHead(ctx context.Context) (authority.Head, platform.Revision, error) {
+func (s *Service) readHead(ctx context.Context) (authority.Head, kvstore.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	return s.config.Source.Head(ctx)
--- a/distribution/mesh_test.go
+++ b/distribution/mesh_test.go
@@ -12,11 +12,11 @@
 	"github.com/samber/lo"
 
 	"geraniumnotch.example/geraniumnotch/authority"
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/membership"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 	"geraniumnotch.example/geraniumnotch/transport"
 	"geraniumnotch.example/geraniumnotch/transport/faultnet"
 )
@@ -63,7 +63,7 @@
 type fakeSource struct {
 	mu       sync.Mutex
 	head     authority.Head
-	revision platform.Revision
+	revision kvstore.Revision
 	versions map[mesh.VersionID]*lists.Version
 	changed  chan struct{}
 	calls    int
@@ -82,7 +82,7 @@
 	f.changed = make(chan struct{})
 }
 
-func (f *fakeSource) Head(context.Context) (authority.Head, platform.Revision, error) {
+func (f *fakeSource) Head(context.Context) (authority.Head, kvstore.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
@@ -97,7 +97,7 @@
 	return lists.NewVersion(v.ID, v.Change, v.Body)
 }
 
-func (f *fakeSource) WatchHead(ctx context.Context, after platform.Revision) (authority.Head, platform.Revision, error) {
+func (f *fakeSource) WatchHead(ctx context.Context, after kvstore.Revision) (authority.Head, kvstore.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var err error
--- a/distribution/store.go
+++ b/distribution/store.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 )
 
 // storeTimeout bounds a call to the store other than a watch.
@@ -27,11 +27,11 @@
 
 // readValue reads a key into value and returns its revision; an absent key has
 // revision zero.
-func readValue(ctx context.Context, store platform.Store, key string, value any) (platform.Revision, error) {
+func readValue(ctx context.Context, store kvstore.Store, key string, value any) (kvstore.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	entry, err := store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kvstore.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
@@ -43,7 +43,7 @@
 	return entry.Revision, nil
 }
 
-func writeValue(ctx context.Context, store platform.Store, key string, value any, expected platform.Revision) (platform.Revision, error) {
+func writeValue(ctx context.Context, store kvstore.Store, key string, value any, expected kvstore.Revision) (kvstore.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	encoded, err := cbor.Marshal(value)
@@ -55,7 +55,7 @@
 }
 
 // ReadContacts returns the contact addresses of a failure domain.
-func ReadContacts(ctx context.Context, store platform.Store, domain mesh.FailureDomain) ([]string, error) {
+func ReadContacts(ctx context.Context, store kvstore.Store, domain mesh.FailureDomain) ([]string, error) {
 	var contacts []string
 	_, err := readValue(ctx, store, contactsKey(domain), &contacts)
 	return contacts, err
@@ -63,7 +63,7 @@
 
 // writeContacts replaces the contacts of the own failure domain if they differ,
 // and returns those that were stored before.
-func writeContacts(ctx context.Context, store platform.Store, domain mesh.FailureDomain, contacts []string) ([]string, error) {
+func writeContacts(ctx context.Context, store kvstore.Store, domain mesh.FailureDomain, contacts []string) ([]string, error) {
 	var stored []string
 	key := contactsKey(domain)
 	revision, err := readValue(ctx, store, key, &stored)
@@ -74,7 +74,7 @@
 		return stored, nil
 	}
 	_, err = writeValue(ctx, store, key, contacts, revision)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kvstore.ErrConflict) {
 		// The other watch holder wrote at the same time; the next check compares again.
 		err = nil
 	}
--- a/distribution/store_test.go
+++ b/distribution/store_test.go
@@ -8,8 +8,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumnotch.example/geraniumnotch/authority"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/membership"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 )
 
 // Guards the bound on store calls: they follow the domains, not the nodes.
--- a/emulator/mesh.go
+++ b/emulator/mesh.go
@@ -14,13 +14,13 @@
 	"github.com/samber/lo"
 
 	"geraniumnotch.example/geraniumnotch/authority"
+	"geraniumnotch.example/geraniumnotch/kvstore/httpstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
+	"geraniumnotch.example/geraniumnotch/kvstore/standin"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/membership"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/node"
-	"geraniumnotch.example/geraniumnotch/platform/httpstore"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
-	"geraniumnotch.example/geraniumnotch/platform/standin"
 	"geraniumnotch.example/geraniumnotch/routing"
 	"geraniumnotch.example/geraniumnotch/settings"
 )
--- a/platform/adapter.go
+++ b/kvstore/adapter.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"github.com/cockroachdb/errors"
@@ -7,7 +7,7 @@
 )
 
 // ErrUnknownAdapter means that no adapter is registered under a name.
-var ErrUnknownAdapter = errors.New("platform: unknown store adapter")
+var ErrUnknownAdapter = errors.New("kvstore: unknown store adapter")
 
 // OpenFunc connects an adapter to the service at address. The form of the
 // address belongs to the adapter. It makes no call to the service, so that a
@@ -32,5 +32,5 @@
 		return nil, errors.Wrapf(ErrUnknownAdapter, "%q, known: %v", name, Adapters())
 	}
 	store, err := open(address)
-	return store, errors.Wrapf(err, "platform: open %s store", name)
+	return store, errors.Wrapf(err, "kvstore: open %s store", name)
 }
--- a/platform/adapter_test.go
+++ b/kvstore/adapter_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 	"go.opentelemetry.io/otel/sdk/metric/metricdata"
 
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 )
 
 // TestRegistry guards against an adapter that cannot be selected by name or
@@ -18,13 +18,13 @@
 func TestRegistry(t *testing.T) {
 	Convey("Given a registered adapter", t, func() {
 		backing := memory.New()
-		name := fmt.Sprintf("test-%d", len(platform.Adapters()))
-		platform.RegisterAdapter(name, func(string) (platform.Store, error) { return backing, nil })
-		_, err := platform.Open(name, "")
+		name := fmt.Sprintf("test-%d", len(kvstore.Adapters()))
+		kvstore.RegisterAdapter(name, func(string) (kvstore.Store, error) { return backing, nil })
+		_, err := kvstore.Open(name, "")
 		So(err, ShouldBeNil)
-		_, err = platform.Open("missing", "")
-		So(err, shouldBeError, platform.ErrUnknownAdapter)
-		So(func() { platform.RegisterAdapter(name, nil) }, ShouldPanic)
+		_, err = kvstore.Open("missing", "")
+		So(err, shouldBeError, kvstore.ErrUnknownAdapter)
+		So(func() { kvstore.RegisterAdapter(name, nil) }, ShouldPanic)
 	})
 }
 
@@ -32,16 +32,16 @@
 func TestCounting(t *testing.T) {
 	Convey("Given a counted store with metrics", t, func() {
 		ctx := context.Background()
-		counting := platform.Counting(memory.New())
+		counting := kvstore.Counting(memory.New())
 		reader := sdk.NewManualReader()
 		meter := sdk.NewMeterProvider(sdk.WithReader(reader)).Meter("test")
 		So(counting.ExportMetrics(meter), ShouldBeNil)
 		checkList(ctx, counting, nil)
 		checkSwap(ctx, counting, nil)
 		counts := counting.Counts()
-		So(counts.ByKind[platform.CallGet], ShouldEqual, 2)
-		So(counts.ByKind[platform.CallCompareAndSwap], ShouldEqual, 9)
-		So(counts.ByKind[platform.CallList], ShouldEqual, 3)
+		So(counts.ByKind[kvstore.CallGet], ShouldEqual, 2)
+		So(counts.ByKind[kvstore.CallCompareAndSwap], ShouldEqual, 9)
+		So(counts.ByKind[kvstore.CallList], ShouldEqual, 3)
 		So(counts.Reads()+counts.Writes(), ShouldEqual, counts.Total())
 		var collected metricdata.ResourceMetrics
 		So(reader.Collect(ctx, &collected), ShouldBeNil)
--- a/platform/conformance_test.go
+++ b/kvstore/conformance_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"context"
@@ -9,35 +9,35 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/httpstore"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
-	"geraniumnotch.example/geraniumnotch/platform/standin"
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/httpstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
+	"geraniumnotch.example/geraniumnotch/kvstore/standin"
 )
 
 // implementation is a Store under test and the memory store behind it, through
 // which the tests inject faults.
 type implementation struct {
 	name string
-	open func(t *testing.T, backing *memory.Store) platform.Store
+	open func(t *testing.T, backing *memory.Store) kvstore.Store
 }
 
 var implementations = []implementation{
-	{"memory", func(_ *testing.T, backing *memory.Store) platform.Store { return backing }},
+	{"memory", func(_ *testing.T, backing *memory.Store) kvstore.Store { return backing }},
 	{"http", openHTTP},
 }
 
-func openHTTP(t *testing.T, backing *memory.Store) platform.Store {
+func openHTTP(t *testing.T, backing *memory.Store) kvstore.Store {
 	server := httptest.NewServer(standin.New(backing, nil))
 	t.Cleanup(server.Close)
-	store, err := platform.Open(httpstore.AdapterName, server.Listener.Addr().String())
+	store, err := kvstore.Open(httpstore.AdapterName, server.Listener.Addr().String())
 	So(err, ShouldBeNil)
 	return store
 }
 
 var checks = []struct {
 	name string
-	run  func(context.Context, platform.Store, *memory.Store)
+	run  func(context.Context, kvstore.Store, *memory.Store)
 }{
 	{"compare-and-swap", checkSwap},
 	{"deletion", checkDeletion},
@@ -48,7 +48,7 @@
 }
 
 // TestConformance guards against an adapter whose answers differ from the
-// contract of platform.Store.
+// contract of kvstore.Store.
 func TestConformance(t *testing.T) {
 	for _, impl := range implementations {
 		t.Run(impl.name, func(t *testing.T) {
@@ -70,43 +70,43 @@
 	return ShouldEqual(actual, expected[0])
 }
 
-func checkSwap(ctx context.Context, s platform.Store, _ *memory.Store) {
+func checkSwap(ctx context.Context, s kvstore.Store, _ *memory.Store) {
 	_, err := s.Get(ctx, "a/b c?%")
-	So(err, shouldBeError, platform.ErrNotFound)
+	So(err, shouldBeError, kvstore.ErrNotFound)
 	first, err := s.CompareAndSwap(ctx, "a/b c?%", []byte{}, 0)
 	So(err, ShouldBeNil)
 	entry, err := s.Get(ctx, "a/b c?%")
 	So(err, ShouldBeNil)
-	So(entry, ShouldResemble, platform.Entry{Key: "a/b c?%", Value: []byte{}, Revision: first})
+	So(entry, ShouldResemble, kvstore.Entry{Key: "a/b c?%", Value: []byte{}, Revision: first})
 	_, err = s.CompareAndSwap(ctx, "a/b c?%", []byte("x"), 0)
-	So(err, shouldBeError, platform.ErrConflict)
-	second, err := s.CompareAndSwap(ctx, "a/b c?%", make([]byte, platform.MaxValueBytes), first)
+	So(err, shouldBeError, kvstore.ErrConflict)
+	second, err := s.CompareAndSwap(ctx, "a/b c?%", make([]byte, kvstore.MaxValueBytes), first)
 	So(err, ShouldBeNil)
 	So(second, ShouldBeGreaterThan, first)
-	_, err = s.CompareAndSwap(ctx, "a/b c?%", make([]byte, platform.MaxValueBytes+1), second)
-	So(err, shouldBeError, platform.ErrTooLarge)
+	_, err = s.CompareAndSwap(ctx, "a/b c?%", make([]byte, kvstore.MaxValueBytes+1), second)
+	So(err, shouldBeError, kvstore.ErrTooLarge)
 }
 
-func checkDeletion(ctx context.Context, s platform.Store, _ *memory.Store) {
+func checkDeletion(ctx context.Context, s kvstore.Store, _ *memory.Store) {
 	first, err := s.CompareAndSwap(ctx, "k", []byte("1"), 0)
 	So(err, ShouldBeNil)
 	deleted, err := s.CompareAndSwap(ctx, "k", nil, first)
 	So(err, ShouldBeNil)
 	_, err = s.Get(ctx, "k")
-	So(err, shouldBeError, platform.ErrNotFound)
+	So(err, shouldBeError, kvstore.ErrNotFound)
 	entry, err := s.Watch(ctx, "k", first)
 	So(err, ShouldBeNil)
-	So(entry, ShouldResemble, platform.Entry{Key: "k", Revision: deleted})
+	So(entry, ShouldResemble, kvstore.Entry{Key: "k", Revision: deleted})
 	again, err := s.CompareAndSwap(ctx, "k", []byte("2"), 0)
 	So(err, ShouldBeNil)
 	So(again, ShouldBeGreaterThan, first)
 	_, err = s.CompareAndSwap(ctx, "k", []byte("3"), first)
-	So(err, shouldBeError, platform.ErrConflict)
+	So(err, shouldBeError, kvstore.ErrConflict)
 }
 
-func checkWatch(ctx context.Context, s platform.Store, backing *memory.Store) {
-	entries := make(chan platform.Entry)
-	watch := func(after platform.Revision) {
+func checkWatch(ctx context.Context, s kvstore.Store, backing *memory.Store) {
+	entries := make(chan kvstore.Entry)
+	watch := func(after kvstore.Revision) {
 		entry, err := s.Watch(ctx, "k", after)
 		if err != nil {
 			entry.Value = []byte(err.Error())
@@ -127,10 +127,10 @@
 	So(err, shouldBeError, context.Canceled)
 	backing.SetFaults(memory.Faults{Unavailable: true})
 	_, err = s.Watch(ctx, "k", 0)
-	So(err, shouldBeError, platform.ErrUnavailable)
+	So(err, shouldBeError, kvstore.ErrUnavailable)
 }
 
-func checkList(ctx context.Context, s platform.Store, _ *memory.Store) {
+func checkList(ctx context.Context, s kvstore.Store, _ *memory.Store) {
 	for _, key := range []string{"p/2", "p/1", "q/1", "p/3"} {
 		_, err := s.CompareAndSwap(ctx, key, []byte("x"), 0)
 		So(err, ShouldBeNil)
@@ -148,52 +148,52 @@
 	So(keys, ShouldBeEmpty)
 }
 
-func checkLeases(ctx context.Context, s platform.Store, backing *memory.Store) {
+func checkLeases(ctx context.Context, s kvstore.Store, backing *memory.Store) {
 	lease, err := s.AcquireLease(ctx, "holder/fd 1/0", "host 1", time.Minute)
 	So(err, ShouldBeNil)
 	So(lease.Name+lease.Holder, ShouldEqual, "holder/fd 1/0host 1")
 	So(lease.TTL, ShouldEqual, time.Minute)
 	_, err = s.AcquireLease(ctx, lease.Name, "host 2", time.Minute)
-	So(err, shouldBeError, platform.ErrLeaseHeld)
+	So(err, shouldBeError, kvstore.ErrLeaseHeld)
 	again, err := s.AcquireLease(ctx, lease.Name, lease.Holder, time.Minute)
 	So(err, ShouldBeNil)
-	So(s.RenewLease(ctx, lease), shouldBeError, platform.ErrLeaseLost)
+	So(s.RenewLease(ctx, lease), shouldBeError, kvstore.ErrLeaseLost)
 	So(s.ReleaseLease(ctx, lease), ShouldBeNil)
 	So(s.RenewLease(ctx, again), ShouldBeNil)
 	So(s.ReleaseLease(ctx, again), ShouldBeNil)
 	other, err := s.AcquireLease(ctx, lease.Name, "host 2", time.Minute)
 	So(err, ShouldBeNil)
 	backing.LapseLeases()
-	So(s.RenewLease(ctx, other), shouldBeError, platform.ErrLeaseLost)
+	So(s.RenewLease(ctx, other), shouldBeError, kvstore.ErrLeaseLost)
 	backing.SetFaults(memory.Faults{LeasesLapse: true})
 	other, err = s.AcquireLease(ctx, lease.Name, "host 2", time.Minute)
 	So(err, ShouldBeNil)
-	So(s.RenewLease(ctx, other), shouldBeError, platform.ErrLeaseLost)
+	So(s.RenewLease(ctx, other), shouldBeError, kvstore.ErrLeaseLost)
 }
 
-func checkFaults(ctx context.Context, s platform.Store, backing *memory.Store) {
+func checkFaults(ctx context.Context, s kvstore.Store, backing *memory.Store) {
 	backing.LoseNextAnswers(1)
 	_, err := s.CompareAndSwap(ctx, "k", []byte("1"), 0)
-	So(err, shouldBeError, platform.ErrUnknown)
+	So(err, shouldBeError, kvstore.ErrUnknown)
 	entry, err := s.Get(ctx, "k")
 	So(err, ShouldBeNil)
 	So(entry.Value, ShouldResemble, []byte("1"))
 	backing.SetFaults(memory.Faults{LostRequestRatio: 1})
 	_, err = s.CompareAndSwap(ctx, "k", []byte("2"), entry.Revision)
-	So(err, shouldBeError, platform.ErrUnknown)
+	So(err, shouldBeError, kvstore.ErrUnknown)
 	backing.SetFaults(memory.Faults{Unavailable: true})
 	_, err = s.CompareAndSwap(ctx, "k", []byte("3"), entry.Revision)
-	So(err, shouldBeError, platform.ErrUnavailable)
+	So(err, shouldBeError, kvstore.ErrUnavailable)
 	_, err = s.List(ctx, "", 1)
-	So(err, shouldBeError, platform.ErrUnavailable)
+	So(err, shouldBeError, kvstore.ErrUnavailable)
 	backing.SetFaults(memory.Faults{ReadsPerSecond: 1e-9, WritesPerSecond: 1e-9})
 	entry, err = s.Get(ctx, "k")
 	So(err, ShouldBeNil)
 	So(entry.Value, ShouldResemble, []byte("1"))
 	_, err = s.Get(ctx, "k")
-	So(err, shouldBeError, platform.ErrRateLimited)
+	So(err, shouldBeError, kvstore.ErrRateLimited)
 	backing.SetFaults(memory.Faults{})
 	So(backing.RewindWrites(1), ShouldEqual, 1)
 	_, err = s.Get(ctx, "k")
-	So(err, shouldBeError, platform.ErrNotFound)
+	So(err, shouldBeError, kvstore.ErrNotFound)
 }
--- a/platform/counting.go
+++ b/kvstore/counting.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"context"
@@ -173,18 +173,18 @@
 	calls, err := meter.Int64ObservableCounter("geraniumnotch.store.calls",
 		metric.WithDescription("Calls to the platform's key-value service by kind"))
 	if err != nil {
-		return errors.Wrap(err, "platform: metrics")
+		return errors.Wrap(err, "kvstore: metrics")
 	}
 	watches, err := meter.Int64ObservableGauge("geraniumnotch.store.watches",
 		metric.WithDescription("Watches that wait for a change"))
 	if err != nil {
-		return errors.Wrap(err, "platform: metrics")
+		return errors.Wrap(err, "kvstore: metrics")
 	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		c.observe(o, calls, watches)
 		return nil
 	}, calls, watches)
-	return errors.Wrap(err, "platform: metrics")
+	return errors.Wrap(err, "kvstore: metrics")
 }
 
 func (c *CountingStore) observe(o metric.Observer, calls, watches metric.Int64Observable) {
--- a/platform/httpstore/calls.go
+++ b/kvstore/httpstore/calls.go
@@ -14,11 +14,11 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/wire"
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/wire"
 )
 
-// List implements platform.Store.
+// List implements kvstore.Store.
 func (s *Store) List(ctx context.Context, prefix string, limit int) ([]string, error) {
 	answer, err := s.read(ctx, wire.PathList, url.Values{
 		wire.ParamPrefix: {prefix},
@@ -29,37 +29,37 @@
 	}
 	var keys []string
 	if err := json.Unmarshal(answer.body, &keys); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "httpstore: list"), platform.ErrUnavailable)
+		return nil, errors.Mark(errors.Wrap(err, "httpstore: list"), kvstore.ErrUnavailable)
 	}
 	return keys, nil
 }
 
-// AcquireLease implements platform.Store.
-func (s *Store) AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (platform.Lease, error) {
-	answer, err := s.writeLease(ctx, wire.PathAcquire, platform.Lease{Name: name, Holder: holder, TTL: ttl})
+// AcquireLease implements kvstore.Store.
+func (s *Store) AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (kvstore.Lease, error) {
+	answer, err := s.writeLease(ctx, wire.PathAcquire, kvstore.Lease{Name: name, Holder: holder, TTL: ttl})
 	if err != nil {
-		return platform.Lease{}, err
+		return kvstore.Lease{}, err
 	}
 	var lease wire.Lease
 	if err := json.Unmarshal(answer.body, &lease); err != nil {
-		return platform.Lease{}, errors.Mark(errors.Wrap(err, "httpstore: lease"), platform.ErrUnknown)
+		return kvstore.Lease{}, errors.Mark(errors.Wrap(err, "httpstore: lease"), kvstore.ErrUnknown)
 	}
-	return platform.Lease(lease), nil
+	return kvstore.Lease(lease), nil
 }
 
-// RenewLease implements platform.Store.
-func (s *Store) RenewLease(ctx context.Context, lease platform.Lease) error {
+// RenewLease implements kvstore.Store.
+func (s *Store) RenewLease(ctx context.Context, lease kvstore.Lease) error {
 	_, err := s.writeLease(ctx, wire.PathRenew, lease)
 	return err
 }
 
-// ReleaseLease implements platform.Store.
-func (s *Store) ReleaseLease(ctx context.Context, lease platform.Lease) error {
+// ReleaseLease implements kvstore.Store.
+func (s *Store) ReleaseLease(ctx context.Context, lease kvstore.Lease) error {
 	_, err := s.writeLease(ctx, wire.PathRelease, lease)
 	return err
 }
 
-func (s *Store) writeLease(ctx context.Context, path string, lease platform.Lease) (answer, error) {
+func (s *Store) writeLease(ctx context.Context, path string, lease kvstore.Lease) (answer, error) {
 	body, err := json.Marshal(wire.Lease(lease))
 	if err != nil {
 		return answer{}, errors.Wrap(err, "httpstore: lease")
@@ -75,13 +75,13 @@
 	}
 	response, err := s.client.Do(request)
 	if err != nil {
-		return answer{}, errors.Mark(err, platform.ErrUnavailable)
+		return answer{}, errors.Mark(err, kvstore.ErrUnavailable)
 	}
 	a, failure, broken := receive(response, limit)
 	if failure != nil {
 		return answer{}, failure
 	}
-	return a, errors.Mark(broken, platform.ErrUnavailable)
+	return a, errors.Mark(broken, kvstore.ErrUnavailable)
 }
 
 // onceBody hides that a body can be rewound and that it may be empty, since the
@@ -111,16 +111,16 @@
 	if failure != nil {
 		return answer{}, failure
 	}
-	return a, errors.Mark(broken, platform.ErrUnknown)
+	return a, errors.Mark(broken, kvstore.ErrUnknown)
 }
 
 // markWrite classifies the error of a write that got no answer. Once a
 // connection was handed to the request, some of it may have been sent.
 func markWrite(err error, connected bool) error {
 	if connected {
-		return errors.Mark(err, platform.ErrUnknown)
+		return errors.Mark(err, kvstore.ErrUnknown)
 	}
-	return errors.Mark(err, platform.ErrUnavailable)
+	return errors.Mark(err, kvstore.ErrUnavailable)
 }
 
 func (s *Store) url(path string, query url.Values) string {
--- a/platform/httpstore/httpstore.go
+++ b/kvstore/httpstore/httpstore.go
@@ -1,9 +1,9 @@
-// Package httpstore is the platform.Store adapter for the HTTP protocol of the
+// Package httpstore is the kvstore.Store adapter for the HTTP protocol of the
 // stand-in server. It registers itself under the name "http".
 //
 // Every write is sent at most once: its body cannot be rewound, so the HTTP
 // transport cannot replay it on another connection. A write whose connection
-// broke after it was established ends with platform.ErrUnknown.
+// broke after it was established ends with kvstore.ErrUnknown.
 package httpstore
 
 import (
@@ -18,11 +18,11 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/wire"
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/wire"
 )
 
-// AdapterName selects this adapter in platform.Open.
+// AdapterName selects this adapter in kvstore.Open.
 const AdapterName = "http"
 
 // Limits of the connections to the service.
@@ -42,12 +42,12 @@
 var ErrAddress = errors.New("httpstore: address is not IP:PORT")
 
 func init() {
-	platform.RegisterAdapter(AdapterName, func(address string) (platform.Store, error) {
+	kvstore.RegisterAdapter(AdapterName, func(address string) (kvstore.Store, error) {
 		return Open(address)
 	})
 }
 
-// Store implements platform.Store over HTTP. It keeps no state besides idle
+// Store implements kvstore.Store over HTTP. It keeps no state besides idle
 // connections.
 type Store struct {
 	base   string
@@ -89,39 +89,39 @@
 // Close closes the idle connections.
 func (s *Store) Close() { s.client.CloseIdleConnections() }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements kvstore.Store.
+func (s *Store) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	return s.entry(ctx, key, wire.PathKey, url.Values{wire.ParamKey: {key}})
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, key string, after platform.Revision) (platform.Entry, error) {
+// Watch implements kvstore.Store.
+func (s *Store) Watch(ctx context.Context, key string, after kvstore.Revision) (kvstore.Entry, error) {
 	return s.entry(ctx, key, wire.PathWatch, url.Values{
 		wire.ParamKey:   {key},
 		wire.ParamAfter: {formatRevision(after)},
 	})
 }
 
-func (s *Store) entry(ctx context.Context, key, path string, query url.Values) (platform.Entry, error) {
-	answer, err := s.read(ctx, path, query, platform.MaxValueBytes)
+func (s *Store) entry(ctx context.Context, key, path string, query url.Values) (kvstore.Entry, error) {
+	answer, err := s.read(ctx, path, query, kvstore.MaxValueBytes)
 	if err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	revision, err := answer.revision()
 	if err != nil {
-		return platform.Entry{}, errors.Mark(err, platform.ErrUnavailable)
+		return kvstore.Entry{}, errors.Mark(err, kvstore.ErrUnavailable)
 	}
-	entry := platform.Entry{Key: key, Value: answer.body, Revision: revision}
+	entry := kvstore.Entry{Key: key, Value: answer.body, Revision: revision}
 	if answer.result == wire.ResultDeleted {
 		entry.Value = nil
 	}
 	return entry, nil
 }
 
-// CompareAndSwap implements platform.Store.
-func (s *Store) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Revision, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+// CompareAndSwap implements kvstore.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, value []byte, expected kvstore.Revision) (kvstore.Revision, error) {
+	if len(value) > kvstore.MaxValueBytes {
+		return 0, kvstore.ErrTooLarge
 	}
 	path := wire.PathKey
 	if value == nil {
@@ -136,12 +136,12 @@
 	}
 	revision, err := answer.revision()
 	if err != nil {
-		return 0, errors.Mark(err, platform.ErrUnknown)
+		return 0, errors.Mark(err, kvstore.ErrUnknown)
 	}
 	return revision, nil
 }
 
-func formatRevision(r platform.Revision) string { return strconv.FormatUint(uint64(r), 10) }
+func formatRevision(r kvstore.Revision) string { return strconv.FormatUint(uint64(r), 10) }
 
 // answer is a successful answer of the service.
 type answer struct {
@@ -150,9 +150,9 @@
 	body   []byte
 }
 
-func (a answer) revision() (platform.Revision, error) {
+func (a answer) revision() (kvstore.Revision, error) {
 	n, err := strconv.ParseUint(a.header.Get(wire.HeaderRevision), 10, 64)
-	return platform.Revision(n), errors.Wrap(err, "httpstore: answer without a revision")
+	return kvstore.Revision(n), errors.Wrap(err, "httpstore: answer without a revision")
 }
 
 // receive reads an answer. Errors of the service are returned as such; anything
--- a/platform/httpstore/httpstore_test.go
+++ b/kvstore/httpstore/httpstore_test.go
@@ -11,9 +11,9 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
-	"geraniumnotch.example/geraniumnotch/platform/standin"
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
+	"geraniumnotch.example/geraniumnotch/kvstore/standin"
 )
 
 func serve(t *testing.T, handler http.Handler) *Store {
@@ -56,13 +56,13 @@
 			func() error { return write(store, []byte("1")) },
 			func() error { return write(store, []byte{}) },
 			func() error { return write(store, nil) },
-			func() error { return store.RenewLease(context.Background(), platform.Lease{Name: "l"}) },
+			func() error { return store.RenewLease(context.Background(), kvstore.Lease{Name: "l"}) },
 		} {
 			_, err := store.Get(context.Background(), "k")
-			So(errors.Is(err, platform.ErrNotFound), ShouldBeTrue)
+			So(errors.Is(err, kvstore.ErrNotFound), ShouldBeTrue)
 			err = call()
-			So(errors.Is(err, platform.ErrUnknown), ShouldBeTrue)
-			So(errors.Is(err, platform.ErrUnavailable), ShouldBeFalse)
+			So(errors.Is(err, kvstore.ErrUnknown), ShouldBeTrue)
+			So(errors.Is(err, kvstore.ErrUnavailable), ShouldBeFalse)
 			So(writes.Load(), ShouldEqual, i+1)
 			So(connections.Load(), ShouldEqual, i+1)
 		}
@@ -80,8 +80,8 @@
 		store, err := Open(address)
 		So(err, ShouldBeNil)
 		err = write(store, []byte("1"))
-		So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
-		So(errors.Is(err, platform.ErrUnknown), ShouldBeFalse)
+		So(errors.Is(err, kvstore.ErrUnavailable), ShouldBeTrue)
+		So(errors.Is(err, kvstore.ErrUnknown), ShouldBeFalse)
 	})
 	Convey("Addresses are an IP address and a port", t, func() {
 		for _, address := range []string{"localhost:80", "127.0.0.1", "127.0.0.1:0", "http://127.0.0.1:80", ""} {
@@ -104,11 +104,11 @@
 				w.Header().Set("Location", "/elsewhere")
 				w.WriteHeader(status)
 			}))
-			So(errors.Is(write(store, []byte("1")), platform.ErrUnknown), ShouldBeTrue)
+			So(errors.Is(write(store, []byte("1")), kvstore.ErrUnknown), ShouldBeTrue)
 			_, err := store.Get(context.Background(), "k")
-			So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+			So(errors.Is(err, kvstore.ErrUnavailable), ShouldBeTrue)
 			_, err = store.List(context.Background(), "k", 1)
-			So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+			So(errors.Is(err, kvstore.ErrUnavailable), ShouldBeTrue)
 			So(requests.Load(), ShouldEqual, 3)
 		}
 	})
@@ -120,6 +120,6 @@
 			_, _ = w.Write([]byte("12345"))
 		}))
 		_, err := store.Get(context.Background(), "k")
-		So(errors.Is(err, platform.ErrUnavailable), ShouldBeTrue)
+		So(errors.Is(err, kvstore.ErrUnavailable), ShouldBeTrue)
 	})
 }
--- a/platform/memory/faults.go
+++ b/kvstore/memory/faults.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
 // Faults are the faults in force. The zero value means none.
@@ -108,16 +108,16 @@
 }
 
 // call counts a call and makes one attempt.
-func (s *Store) call(ctx context.Context, kind platform.CallKind, effect func() error) error {
+func (s *Store) call(ctx context.Context, kind kvstore.CallKind, effect func() error) error {
 	defer s.counters.Begin(kind)()
 	return s.attempt(ctx, kind, true, effect)
 }
 
 // attempt runs effect under the lock, subject to the faults in force. Only a
 // limited attempt counts against the rate.
-func (s *Store) attempt(ctx context.Context, kind platform.CallKind, limited bool, effect func() error) error {
+func (s *Store) attempt(ctx context.Context, kind kvstore.CallKind, limited bool, effect func() error) error {
 	if err := ctx.Err(); err != nil {
-		return errors.Mark(err, platform.ErrUnavailable)
+		return errors.Mark(err, kvstore.ErrUnavailable)
 	}
 	half := s.Faults().Latency / 2
 	if err := sleep(ctx, half); err != nil {
@@ -136,51 +136,51 @@
 }
 
 // interrupted is the error of a call whose context ended while it was under way.
-func interrupted(kind platform.CallKind, err error) error {
+func interrupted(kind kvstore.CallKind, err error) error {
 	if kind.IsWrite() {
-		return errors.Mark(err, platform.ErrUnknown)
+		return errors.Mark(err, kvstore.ErrUnknown)
 	}
 	return err
 }
 
 // cutOff is the error of a call whose answer the store could not send.
-func cutOff(kind platform.CallKind) error {
+func cutOff(kind kvstore.CallKind) error {
 	if kind.IsWrite() {
-		return platform.ErrUnknown
+		return kvstore.ErrUnknown
 	}
-	return platform.ErrUnavailable
+	return kvstore.ErrUnavailable
 }
 
-func (s *Store) apply(kind platform.CallKind, limited bool, effect func() error) error {
+func (s *Store) apply(kind kvstore.CallKind, limited bool, effect func() error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Unavailable {
-		return platform.ErrUnavailable
+		return kvstore.ErrUnavailable
 	}
 	if limited && !s.allow(kind) {
-		return platform.ErrRateLimited
+		return kvstore.ErrRateLimited
 	}
 	if kind.IsWrite() && s.chance(s.faults.LostRequestRatio) {
-		return platform.ErrUnknown
+		return kvstore.ErrUnknown
 	}
 	if err := effect(); err != nil {
 		return err
 	}
 	if kind.IsWrite() && s.loseAnswer(kind) {
-		return platform.ErrUnknown
+		return kvstore.ErrUnknown
 	}
 	return nil
 }
 
-func (s *Store) allow(kind platform.CallKind) bool {
+func (s *Store) allow(kind kvstore.CallKind) bool {
 	if kind.IsWrite() {
 		return s.writeLimiter.Allow()
 	}
 	return s.readLimiter.Allow()
 }
 
-func (s *Store) loseAnswer(kind platform.CallKind) bool {
-	if kind == platform.CallCompareAndSwap && s.loseAnswers > 0 {
+func (s *Store) loseAnswer(kind kvstore.CallKind) bool {
+	if kind == kvstore.CallCompareAndSwap && s.loseAnswers > 0 {
 		s.loseAnswers--
 		return true
 	}
--- a/platform/memory/memory_test.go
+++ b/kvstore/memory/memory_test.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
 // TestTime guards against faults and leases that ignore time, and against
@@ -27,7 +27,7 @@
 			early, cancel := context.WithTimeout(ctx, 7*time.Millisecond)
 			defer cancel()
 			_, err = s.CompareAndSwap(early, "k", []byte("2"), revision)
-			So(errors.Is(err, platform.ErrUnknown), ShouldBeTrue)
+			So(errors.Is(err, kvstore.ErrUnknown), ShouldBeTrue)
 			So(errors.Is(err, context.DeadlineExceeded), ShouldBeTrue)
 			entry, err := s.Get(ctx, "k")
 			So(err, ShouldBeNil)
@@ -35,7 +35,7 @@
 
 			s.DelayNextWrites(1, time.Second)
 			_, err = s.CompareAndSwap(ctx, "k", []byte("3"), entry.Revision)
-			So(err, ShouldEqual, platform.ErrUnknown)
+			So(err, ShouldEqual, kvstore.ErrUnknown)
 			late, err := s.Watch(ctx, "k", entry.Revision)
 			So(err, ShouldBeNil)
 			So(late.Value, ShouldResemble, []byte("3"))
@@ -44,7 +44,7 @@
 			lease, err := s.AcquireLease(ctx, "l", "h", time.Second)
 			So(err, ShouldBeNil)
 			time.Sleep(2 * time.Second)
-			So(s.RenewLease(ctx, lease), ShouldEqual, platform.ErrLeaseLost)
+			So(s.RenewLease(ctx, lease), ShouldEqual, kvstore.ErrLeaseLost)
 		})
 		Convey("Watches end when the store fails and are counted while they wait", t, func() {
 			s := New()
@@ -56,7 +56,7 @@
 			synctest.Wait()
 			So(s.Counts().WaitingWatches, ShouldEqual, 1)
 			s.SetFaults(Faults{Unavailable: true})
-			So(<-failed, ShouldEqual, platform.ErrUnavailable)
+			So(<-failed, ShouldEqual, kvstore.ErrUnavailable)
 			So(s.Counts().WaitingWatches, ShouldEqual, 0)
 		})
 		Convey("Limits, ratios and peaks follow the clock and the seed", t, func() {
@@ -68,7 +68,7 @@
 				switch {
 				case err == nil:
 					written++
-				case errors.Is(err, platform.ErrUnknown):
+				case errors.Is(err, kvstore.ErrUnknown):
 					lost++
 				}
 			}
@@ -87,7 +87,7 @@
 			So(s.RewindTo(mark), ShouldEqual, 1)
 			entry, err := s.Get(ctx, "k")
 			So(err, ShouldBeNil)
-			So(entry, ShouldResemble, platform.Entry{Key: "k", Value: []byte("1"), Revision: 1})
+			So(entry, ShouldResemble, kvstore.Entry{Key: "k", Value: []byte("1"), Revision: 1})
 		})
 	})
 }
--- a/platform/memory/store.go
+++ b/kvstore/memory/store.go
@@ -1,4 +1,4 @@
-// Package memory is an in-memory platform.Store whose faults are set at run
+// Package memory is an in-memory kvstore.Store whose faults are set at run
 // time. It stands for the platform's service in tests, experiments and the
 // development mesh. All methods are safe for concurrent use; writes to one key
 // are linearizable except after RewindWrites.
@@ -15,29 +15,29 @@
 
 	"golang.org/x/time/rate"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
 // record is a key that exists or existed. A deleted key keeps its record, so
 // that its revisions go on when it is written again.
 type record struct {
 	value    []byte
-	revision platform.Revision
+	revision kvstore.Revision
 }
 
 func (r record) exists() bool { return r.value != nil }
 
 // current is the revision that a compare-and-swap must expect.
-func (r record) current() platform.Revision {
+func (r record) current() kvstore.Revision {
 	if !r.exists() {
 		return 0
 	}
 	return r.revision
 }
 
-// Store implements platform.Store in memory.
+// Store implements kvstore.Store in memory.
 type Store struct {
-	counters platform.CallCounters
+	counters kvstore.CallCounters
 
 	mu        sync.Mutex
 	records   map[string]record
@@ -87,37 +87,37 @@
 }
 
 // Counts returns the calls that reached the store, failed ones included.
-func (s *Store) Counts() platform.Counts { return s.counters.Counts() }
+func (s *Store) Counts() kvstore.Counts { return s.counters.Counts() }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
-	var entry platform.Entry
-	err := s.call(ctx, platform.CallGet, func() error {
+// Get implements kvstore.Store.
+func (s *Store) Get(ctx context.Context, key string) (kvstore.Entry, error) {
+	var entry kvstore.Entry
+	err := s.call(ctx, kvstore.CallGet, func() error {
 		r := s.records[key]
 		if !r.exists() {
-			return platform.ErrNotFound
+			return kvstore.ErrNotFound
 		}
-		entry = platform.Entry{Key: key, Value: r.value, Revision: r.revision}
+		entry = kvstore.Entry{Key: key, Value: r.value, Revision: r.revision}
 		return nil
 	})
 	return entry, err
 }
 
-// CompareAndSwap implements platform.Store. Deleting an absent key changes
+// CompareAndSwap implements kvstore.Store. Deleting an absent key changes
 // nothing and returns revision zero.
-func (s *Store) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Revision, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+func (s *Store) CompareAndSwap(ctx context.Context, key string, value []byte, expected kvstore.Revision) (kvstore.Revision, error) {
+	if len(value) > kvstore.MaxValueBytes {
+		return 0, kvstore.ErrTooLarge
 	}
 	value = bytes.Clone(value)
-	var revision platform.Revision
+	var revision kvstore.Revision
 	swap := func() (err error) {
 		revision, err = s.swap(key, value, expected)
 		return err
 	}
-	err := s.call(ctx, platform.CallCompareAndSwap, func() error {
+	err := s.call(ctx, kvstore.CallCompareAndSwap, func() error {
 		if s.delayWrite(func() { _, _ = s.swap(key, value, expected) }) {
-			return platform.ErrUnknown
+			return kvstore.ErrUnknown
 		}
 		return swap()
 	})
@@ -128,10 +128,10 @@
 }
 
 // swap needs the lock.
-func (s *Store) swap(key string, value []byte, expected platform.Revision) (platform.Revision, error) {
+func (s *Store) swap(key string, value []byte, expected kvstore.Revision) (kvstore.Revision, error) {
 	old := s.records[key]
 	if old.current() != expected {
-		return 0, platform.ErrConflict
+		return 0, kvstore.ErrConflict
 	}
 	if value == nil && !old.exists() {
 		return 0, nil
@@ -143,10 +143,10 @@
 	return updated.revision, nil
 }
 
-// List implements platform.Store.
+// List implements kvstore.Store.
 func (s *Store) List(ctx context.Context, prefix string, limit int) ([]string, error) {
 	var keys []string
-	err := s.call(ctx, platform.CallList, func() error {
+	err := s.call(ctx, kvstore.CallList, func() error {
 		keys = s.keys(prefix)
 		return nil
 	})
--- a/platform/memory/watch.go
+++ b/kvstore/memory/watch.go
@@ -3,21 +3,21 @@
 import (
 	"context"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
-// Watch implements platform.Store. A watch that waits while the store becomes
+// Watch implements kvstore.Store. A watch that waits while the store becomes
 // unavailable ends with ErrUnavailable, as a broken connection would.
-func (s *Store) Watch(ctx context.Context, key string, after platform.Revision) (platform.Entry, error) {
-	defer s.counters.Begin(platform.CallWatch)()
+func (s *Store) Watch(ctx context.Context, key string, after kvstore.Revision) (kvstore.Entry, error) {
+	defer s.counters.Begin(kvstore.CallWatch)()
 	first := true
 	for {
 		var (
-			entry platform.Entry
+			entry kvstore.Entry
 			found bool
 			wait  <-chan struct{}
 		)
-		err := s.attempt(ctx, platform.CallWatch, first, func() error {
+		err := s.attempt(ctx, kvstore.CallWatch, first, func() error {
 			entry, found = s.newer(key, after)
 			wait = s.waiter(key)
 			return nil
@@ -29,18 +29,18 @@
 		select {
 		case <-wait:
 		case <-ctx.Done():
-			return platform.Entry{}, ctx.Err()
+			return kvstore.Entry{}, ctx.Err()
 		}
 	}
 }
 
 // newer needs the lock.
-func (s *Store) newer(key string, after platform.Revision) (platform.Entry, bool) {
+func (s *Store) newer(key string, after kvstore.Revision) (kvstore.Entry, bool) {
 	r := s.records[key]
 	if r.revision <= after {
-		return platform.Entry{}, false
+		return kvstore.Entry{}, false
 	}
-	return platform.Entry{Key: key, Value: r.value, Revision: r.revision}, true
+	return kvstore.Entry{Key: key, Value: r.value, Revision: r.revision}, true
 }
 
 // waiter needs the lock.
--- a/platform/platform.go
+++ b/kvstore/platform.go
@@ -1,7 +1,7 @@
-// Package platform defines the interface to the platform's key-value service,
+// Package kvstore defines the interface to the platform's key-value service,
 // the only place where anything lasts. The service's real protocol is not
 // known yet, so an adapter implements Store and nothing else depends on it.
-package platform
+package kvstore
 
 import (
 	"context"
@@ -62,12 +62,12 @@
 
 // Errors of a Store. Adapters mark their errors with one of these.
 var (
-	ErrNotFound    = errors.New("platform: key not found")
-	ErrConflict    = errors.New("platform: revision differs")
-	ErrUnavailable = errors.New("platform: service unavailable, nothing was written")
-	ErrUnknown     = errors.New("platform: answer lost, the write may have taken effect")
-	ErrTooLarge    = errors.New("platform: value larger than 1 MB")
-	ErrLeaseHeld   = errors.New("platform: lease held by another holder")
-	ErrLeaseLost   = errors.New("platform: lease lost")
-	ErrRateLimited = errors.New("platform: call rate exceeded, nothing was written")
+	ErrNotFound    = errors.New("kvstore: key not found")
+	ErrConflict    = errors.New("kvstore: revision differs")
+	ErrUnavailable = errors.New("kvstore: service unavailable, nothing was written")
+	ErrUnknown     = errors.New("kvstore: answer lost, the write may have taken effect")
+	ErrTooLarge    = errors.New("kvstore: value larger than 1 MB")
+	ErrLeaseHeld   = errors.New("kvstore: lease held by another holder")
+	ErrLeaseLost   = errors.New("kvstore: lease lost")
+	ErrRateLimited = errors.New("kvstore: call rate exceeded, nothing was written")
 )
--- a/platform/standin/admin.go
+++ b/kvstore/standin/admin.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 )
 
 // Paths of the requests that belong to the stand-in and not to the service.
@@ -61,7 +61,7 @@
 		PeakPerSecond:  counts.PeakPerSecond,
 	}
 	for kind, n := range counts.ByKind {
-		answer.Calls[platform.CallKind(kind).String()] = n
+		answer.Calls[kvstore.CallKind(kind).String()] = n
 	}
 	writeJSON(w, answer)
 }
--- a/platform/standin/lease.go
+++ b/kvstore/standin/lease.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"net/http"
 
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/wire"
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/wire"
 )
 
 func (s *server) acquire(w http.ResponseWriter, r *http.Request) {
@@ -36,11 +36,11 @@
 	w.Header().Set(wire.HeaderResult, wire.ResultOK)
 }
 
-func leaseBody(w http.ResponseWriter, r *http.Request) (platform.Lease, bool) {
+func leaseBody(w http.ResponseWriter, r *http.Request) (kvstore.Lease, bool) {
 	var lease wire.Lease
 	if err := json.NewDecoder(r.Body).Decode(&lease); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
-		return platform.Lease{}, false
+		return kvstore.Lease{}, false
 	}
-	return platform.Lease(lease), true
+	return kvstore.Lease(lease), true
 }
--- a/platform/standin/server.go
+++ b/kvstore/standin/server.go
@@ -1,6 +1,6 @@
 // Package standin serves a memory store over HTTP in the place of the
 // platform's service, whose protocol is not known yet. Besides the calls of
-// platform.Store it offers requests that read the call counters and set faults.
+// kvstore.Store it offers requests that read the call counters and set faults.
 package standin
 
 import (
@@ -12,9 +12,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"geraniumnotch.example/geraniumnotch/events"
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
-	"geraniumnotch.example/geraniumnotch/platform/wire"
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
+	"geraniumnotch.example/geraniumnotch/kvstore/wire"
 )
 
 var (
@@ -24,7 +24,7 @@
 		"None; a fault asked for a lost answer, or the client has gone.")
 )
 
-// server answers the calls of platform.Store.
+// server answers the calls of kvstore.Store.
 type server struct {
 	store  *memory.Store
 	logger hclog.Logger
@@ -68,7 +68,7 @@
 
 func (s *server) swap(w http.ResponseWriter, r *http.Request) {
 	// One byte more than allowed lets the store refuse the value itself.
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, kvstore.MaxValueBytes+1))
 	if err != nil {
 		// The store has not been called, but the client's connection is broken.
 		panic(http.ErrAbortHandler)
@@ -124,7 +124,7 @@
 	return true
 }
 
-func writeEntry(w http.ResponseWriter, entry platform.Entry) {
+func writeEntry(w http.ResponseWriter, entry kvstore.Entry) {
 	setRevision(w, entry.Revision)
 	w.Header().Set(wire.HeaderResult, wire.ResultOK)
 	if entry.Value == nil {
@@ -143,15 +143,15 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func setRevision(w http.ResponseWriter, revision platform.Revision) {
+func setRevision(w http.ResponseWriter, revision kvstore.Revision) {
 	w.Header().Set(wire.HeaderRevision, strconv.FormatUint(uint64(revision), 10))
 }
 
-func revisionParam(w http.ResponseWriter, r *http.Request, name string) (platform.Revision, bool) {
+func revisionParam(w http.ResponseWriter, r *http.Request, name string) (kvstore.Revision, bool) {
 	n, err := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
 	if err != nil {
 		http.Error(w, name+" is not a revision", http.StatusBadRequest)
 		return 0, false
 	}
-	return platform.Revision(n), true
+	return kvstore.Revision(n), true
 }
--- a/platform/standin/server_test.go
+++ b/kvstore/standin/server_test.go
@@ -10,7 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"geraniumnotch.example/geraniumnotch/platform/memory"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 )
 
 // TestAdmin guards against faults that cannot be set over HTTP and against
--- a/platform/wire/wire.go
+++ b/kvstore/wire/wire.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 )
 
 // Paths of the protocol. Writes use POST with a body, reads use GET.
@@ -45,7 +45,7 @@
 	ResultDeleted = "deleted"
 )
 
-// Lease is the JSON form of platform.Lease.
+// Lease is the JSON form of kvstore.Lease.
 type Lease struct {
 	Name   string        `json:"name"`
 	Holder string        `json:"holder"`
@@ -62,19 +62,19 @@
 
 // ErrUnknown has no code: a server that does not know must not answer.
 var failures = []failure{
-	{"not_found", platform.ErrNotFound, http.StatusNotFound},
-	{"conflict", platform.ErrConflict, http.StatusConflict},
-	{"unavailable", platform.ErrUnavailable, http.StatusServiceUnavailable},
-	{"too_large", platform.ErrTooLarge, http.StatusRequestEntityTooLarge},
-	{"lease_held", platform.ErrLeaseHeld, http.StatusConflict},
-	{"lease_lost", platform.ErrLeaseLost, http.StatusGone},
-	{"rate_limited", platform.ErrRateLimited, http.StatusTooManyRequests},
+	{"not_found", kvstore.ErrNotFound, http.StatusNotFound},
+	{"conflict", kvstore.ErrConflict, http.StatusConflict},
+	{"unavailable", kvstore.ErrUnavailable, http.StatusServiceUnavailable},
+	{"too_large", kvstore.ErrTooLarge, http.StatusRequestEntityTooLarge},
+	{"lease_held", kvstore.ErrLeaseHeld, http.StatusConflict},
+	{"lease_lost", kvstore.ErrLeaseLost, http.StatusGone},
+	{"rate_limited", kvstore.ErrRateLimited, http.StatusTooManyRequests},
 }
 
 // CodeOf returns the code and status of a Store's error. It reports false for
 // errors that must not be answered.
 func CodeOf(err error) (code string, status int, ok bool) {
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, kvstore.ErrUnknown) {
 		return "", 0, false
 	}
 	for _, f := range failures {
--- a/node/control.go
+++ b/node/control.go
@@ -10,9 +10,9 @@
 	"geraniumnotch.example/geraniumnotch/authority"
 	"geraniumnotch.example/geraniumnotch/distribution"
 	"geraniumnotch.example/geraniumnotch/kernel"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/membership"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
 
@@ -51,13 +51,13 @@
 	}
 	store := p.options.Store
 	if store == nil {
-		opened, err := platform.Open(p.settings.Store.Adapter, p.settings.Store.Address)
+		opened, err := kvstore.Open(p.settings.Store.Adapter, p.settings.Store.Address)
 		if err != nil {
 			return errors.Wrap(err, "node: open the platform's service")
 		}
 		store = opened
 	}
-	p.parts.store = platform.Counting(store)
+	p.parts.store = kvstore.Counting(store)
 	return errors.Wrap(p.parts.store.ExportMetrics(p.metrics.Meter()), "node: metrics of the store")
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -20,9 +20,9 @@
 	"geraniumnotch.example/geraniumnotch/endpoints"
 	"geraniumnotch.example/geraniumnotch/gate"
 	"geraniumnotch.example/geraniumnotch/kernel"
+	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/metrics"
-	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/proxy"
 	"geraniumnotch.example/geraniumnotch/retry"
 	"geraniumnotch.example/geraniumnotch/routing"
@@ -36,7 +36,7 @@
 	Logger hclog.Logger
 	// Store replaces the adapter that the settings name, for meshes in one
 	// process.
-	Store platform.Store
+	Store kvstore.Store
 	// Dial replaces the dialer of links between nodes, to inject faults.
 	Dial transport.DialFunc
 	// DialCall replaces the dialer of connections that carry calls to other
@@ -76,7 +76,7 @@
 	metrics   *metrics.Registry
 	listeners listeners
 
-	store     *platform.CountingStore
+	store     *kvstore.CountingStore
 	authority *authorityPlugin
 	// control is set once the distribution service exists; plug-ins that come
 	// before it read it when they are called.
@@ -206,7 +206,7 @@
 func (n *Node) Control() *distribution.Service { return n.parts.control.Load() }
 
 // Store returns the node's counted connection to the platform's service.
-func (n *Node) Store() *platform.CountingStore { return n.parts.store }
+func (n *Node) Store() *kvstore.CountingStore { return n.parts.store }
 
 // Snapshot returns the routing snapshot in force, or nil before the first.
 func (n *Node) Snapshot() *routing.Snapshot { return n.parts.current.Load() }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -10,10 +10,10 @@
 
 	"geraniumnotch.example/geraniumnotch/authority"
 	"geraniumnotch.example/geraniumnotch/distribution"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/operator"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 	"geraniumnotch.example/geraniumnotch/settings"
 )
 
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -12,10 +12,10 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumnotch.example/geraniumnotch/authority"
+	"geraniumnotch.example/geraniumnotch/kvstore"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 )
 
 type fakeNode struct {
@@ -44,12 +44,12 @@
 	armed bool
 }
 
-func (s *darkAfterSwap) CompareAndSwap(ctx context.Context, key string, value []byte, expected platform.Revision) (platform.Revision, error) {
+func (s *darkAfterSwap) CompareAndSwap(ctx context.Context, key string, value []byte, expected kvstore.Revision) (kvstore.Revision, error) {
 	revision, err := s.Store.CompareAndSwap(ctx, key, value, expected)
 	if s.armed && key == "head" {
 		s.armed = false
 		s.SetFaults(memory.Faults{Unavailable: true})
-		return 0, platform.ErrUnknown
+		return 0, kvstore.ErrUnknown
 	}
 	return revision, err
 }
--- a/proxy/kept_test.go
+++ b/proxy/kept_test.go
@@ -14,8 +14,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumnotch.example/geraniumnotch/claims"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 )
 
 // press answers each run with its number, once it is let go.
--- a/proxy/nested_test.go
+++ b/proxy/nested_test.go
@@ -11,8 +11,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumnotch.example/geraniumnotch/claims"
+	"geraniumnotch.example/geraniumnotch/kvstore/memory"
 	"geraniumnotch.example/geraniumnotch/mesh"
-	"geraniumnotch.example/geraniumnotch/platform/memory"
 )
 
 // nestingEndpoint calls the entry again until the depth that the path asks for.
--- a/transport/link.go
+++ b/transport/link.go
@@ -109,6 +109,24 @@
 	}
 }
 
+// SendWait queues an encoded frame and waits while the queue is full. It returns
+// ErrClosed when the link ends first; the frame may be lost all the same when the
+// link ends later.
+func (l *Link) SendWait(kind Kind, frame []byte) error {
+	if direct(kind) {
+		l.lastUsed.Store(time.Now().UnixNano())
+	}
+	select {
+	case <-l.closed:
+		return ErrClosed
+	case l.queue <- outgoing{kind: kind, frame: frame}:
+		return nil
+	}
+}
+
+// Closed is closed when the link has ended.
+func (l *Link) Closed() <-chan struct{} { return l.closed }
+
 // Close ends the link at once.
 func (l *Link) Close() {
 	l.closeOnce.Do(func() {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -27,6 +27,17 @@
 	KindQuotaGrant
 	KindClaimRequest
 	KindClaimReply
+	KindHostStatus
+	KindPlanRequest
+	KindPlanValue
+	KindCallOpen
+	KindCallData
+	KindCallCredit
+	KindCallCancel
+	KindAnswerHead
+	KindAnswerData
+	KindAnswerCredit
+	KindAttemptFailed
 )
 
 // Message is one CBOR-encoded body with its kind.
