First whole path on the users' platform

Adapter platform/, node beside an endpoint (hostnode), entry with pipelining, links that carry calls, exact slots at the gate, plans from the store and peers.

--- /dev/null
+++ b/entrance/headers.go
@@ -0,0 +1,25 @@
+package entrance
+
+import (
+	"net/http"
+	"strings"
+)
+
+// connectionHeaders concern one connection only (RFC 9110, section 7.6.1).
+var connectionHeaders = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// removeConnectionHeaders removes what must not be passed on.
+func removeConnectionHeaders(h http.Header) {
+	for _, named := range h["Connection"] {
+		for _, name := range strings.Split(named, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range connectionHeaders {
+		delete(h, name)
+	}
+}
--- /dev/null
+++ b/entrance/server.go
@@ -0,0 +1,282 @@
+// Package entrance takes calls from the clients and the endpoint of its host,
+// chooses where they go, and returns the answers in the order of the requests of
+// each connection.
+package entrance
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"geraniumnotch.example/geraniumnotch/boottime"
+	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/mesh"
+	"geraniumnotch.example/geraniumnotch/routeplan"
+)
+
+const (
+	// readBufferBytes holds the head of most requests.
+	readBufferBytes = 2 << 10
+	// maxPipelined bounds the requests of a connection that run side by side.
+	maxPipelined = 16
+	// keptBodyBytes is the longest request body that is read whole before the
+	// call is forwarded, so that a slow client holds no slot.
+	keptBodyBytes = 1 << 20
+	// writeTimeout bounds the writing of an answer to a client that does not read.
+	writeTimeout = 10 * time.Second
+	// startIdle applies while no plan is known.
+	startIdle = 10 * time.Second
+	// startHeaderBytes applies while no plan is known.
+	startHeaderBytes = 16 << 10
+)
+
+// Observer is told the outcome of each call. Its methods must not block.
+type Observer interface {
+	Finished(e *Exchange)
+}
+
+// Exchange is a request with its outcome, for logs and metrics.
+type Exchange struct {
+	ID      string
+	Route   *routeplan.Route
+	Service mesh.ServiceName
+	Plan    uint64
+	Nested  bool
+	Wait    time.Duration
+	Age     time.Duration
+	Result  call.Result
+	// Status is what the client got, 0 when the client left before.
+	Status   int
+	Reason   string
+	Sent     int
+	Refusals int
+	Host     mesh.HostID
+	Took     time.Duration
+}
+
+// Config configures a Server.
+type Config struct {
+	Plan      *routeplan.Current
+	Headers   call.Headers
+	Forwarder *Forwarder
+	Clock     boottime.Clock
+	Observer  Observer
+	// Caller returns the service of this host.
+	Caller func() mesh.ServiceName
+	// FromEndpoint reports whether a connection comes from the endpoint of this
+	// host.
+	FromEndpoint func(remote net.Addr) bool
+}
+
+// Server serves connections of clients.
+type Server struct {
+	config   Config
+	splitter routeplan.Splitter
+	ages     ages
+
+	draining atomic.Bool
+	active   atomic.Int64
+	mu       sync.Mutex
+	conns    map[*connection]struct{}
+}
+
+// New returns a server without connections.
+func New(config Config) *Server {
+	return &Server{config: config, conns: map[*connection]struct{}{}}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			var temporary interface{ Temporary() bool }
+			if errors.As(err, &temporary) && temporary.Temporary() {
+				time.Sleep(acceptPause)
+				continue
+			}
+			return errors.Wrap(err, "entrance: accept")
+		}
+		go s.connect(c)
+	}
+}
+
+// acceptPause is the pause after a failed accept, such as for lack of
+// descriptors.
+const acceptPause = 10 * time.Millisecond
+
+// Drain makes each further answer the last one of its connection.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Active returns the number of requests that are not answered yet.
+func (s *Server) Active() int { return int(s.active.Load()) }
+
+// CloseIdle closes the connections on which no request is under way.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.pending.Load() == 0 && !c.reading.Load() {
+			_ = c.net.Close()
+		}
+	}
+}
+
+// connection is a connection of a client.
+type connection struct {
+	server *Server
+	net    net.Conn
+	r      *bufio.Reader
+	limit  *headLimit
+	ctx    context.Context
+	nested bool
+	// pending counts the requests that are not answered yet.
+	pending atomic.Int64
+	// reading is set while a part of a request has arrived.
+	reading atomic.Bool
+	// finished is closed once the connection takes no further request.
+	finished atomic.Bool
+	// tail is closed when the latest request has been answered.
+	tail chan struct{}
+	idle atomic.Int64
+}
+
+// headLimit bounds the bytes read for the head of a request.
+type headLimit struct {
+	net.Conn
+	left int
+}
+
+var errHeadTooLong = errors.New("entrance: request head too long")
+
+func (h *headLimit) Read(b []byte) (int, error) {
+	if h.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.Conn.Read(b[:min(len(b), h.left)])
+	h.left -= n
+	return n, err
+}
+
+const unlimited = 1 << 62
+
+func (s *Server) connect(raw net.Conn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c := &connection{server: s, net: raw, limit: &headLimit{Conn: raw}, ctx: ctx, nested: s.config.FromEndpoint(raw.RemoteAddr())}
+	c.r = bufio.NewReaderSize(c.limit, readBufferBytes)
+	c.tail = make(chan struct{})
+	close(c.tail)
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	c.readRequests()
+	if c.gone() {
+		cancel()
+	}
+	<-c.tail
+	_ = raw.Close()
+}
+
+// gone waits until the client closes the connection or all requests have been
+// answered. It reports true for the former.
+func (c *connection) gone() bool {
+	if c.pending.Load() == 0 {
+		return true
+	}
+	_ = c.net.SetReadDeadline(time.Time{}) // An error shows in the next read.
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		var b [1]byte
+		for {
+			if _, err := c.net.Read(b[:]); err != nil {
+				return
+			}
+		}
+	}()
+	select {
+	case <-closed:
+		return true
+	case <-c.tail:
+		return false
+	}
+}
+
+// readRequests reads requests until the connection ends or must take no more.
+// An idempotent request without a body runs beside the ones before it.
+func (c *connection) readRequests() {
+	for !c.finished.Load() {
+		limits := c.limits()
+		c.idle.Store(int64(limits.IdleTimeout))
+		c.armIdle()
+		if !c.awaitByte(limits) {
+			return
+		}
+		c.reading.Store(true)
+		started := c.server.config.Clock()
+		c.limit.left = limits.HeaderBytes
+		_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // An error shows in the next read.
+		request, err := http.ReadRequest(c.r)
+		c.limit.left = unlimited
+		if err != nil {
+			c.refuseHead(err)
+			return
+		}
+		if !c.take(request, started) {
+			return
+		}
+		c.reading.Store(false)
+	}
+}
+
+// armIdle sets the idle limit when no request is under way.
+func (c *connection) armIdle() {
+	if c.pending.Load() == 0 {
+		_ = c.net.SetReadDeadline(time.Now().Add(time.Duration(c.idle.Load()))) // An error shows in the next read.
+	} else {
+		_ = c.net.SetReadDeadline(time.Time{})
+	}
+}
+
+// awaitByte waits for the first byte of a request.
+func (c *connection) awaitByte(limits routeplan.Limits) bool {
+	c.limit.left = limits.HeaderBytes
+	_, err := c.r.Peek(1)
+	return err == nil
+}
+
+func (c *connection) limits() routeplan.Limits {
+	if plan := c.server.config.Plan.Load(); plan != nil {
+		return plan.Limits
+	}
+	return routeplan.Limits{HeaderBytes: startHeaderBytes, BodyBytes: keptBodyBytes, HeaderTimeout: startIdle, IdleTimeout: startIdle}
+}
+
+// refuseHead answers a request whose head cannot be read.
+func (c *connection) refuseHead(err error) {
+	status, reason := http.StatusBadRequest, "malformed_request"
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, errHeadTooLong):
+		status, reason = http.StatusRequestHeaderFieldsTooLarge, "head_too_long"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status, reason = http.StatusRequestTimeout, "head_too_slow"
+	case c.disconnected(err):
+		return
+	}
+	x := c.newExchange("", c.server.config.Clock())
+	x.closing = true
+	x.fail(status, reason, 0)
+}
--- /dev/null
+++ b/hosted/gate.go
@@ -0,0 +1,135 @@
+package hosted
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"geraniumnotch.example/geraniumnotch/boottime"
+	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/slotqueue"
+)
+
+const reasonLeaving = call.ReasonLeaving
+
+// leastLeft is the least time for which a call is sent to the endpoint.
+const leastLeft = 5 * time.Millisecond
+
+// Observer is told what the gate decided. Its methods must not block.
+type Observer interface {
+	// Attempted is called after each attempt with the time in the queue and at
+	// the endpoint.
+	Attempted(c *call.Call, e *Endpoint, r call.Result, waited, ran time.Duration)
+}
+
+// Gate runs calls at the endpoint beside the node. It implements call.Runner.
+type Gate struct {
+	registration *Registration
+	headers      call.Headers
+	clock        boottime.Clock
+	observer     Observer
+}
+
+// NewGate returns the gate of the registered endpoint.
+func NewGate(registration *Registration, headers call.Headers, clock boottime.Clock, observer Observer) *Gate {
+	return &Gate{registration: registration, headers: headers, clock: clock, observer: observer}
+}
+
+// Run waits for a slot and runs the call. The call is withdrawn when ctx ends
+// while it waits, and abandoned if it is idempotent and runs.
+func (g *Gate) Run(ctx context.Context, c *call.Call) call.Result {
+	arrived := g.clock()
+	e := g.registration.Current()
+	if e == nil || e.Leaving || e.Service != c.Service {
+		r := call.Result{Fate: call.Refused, Reason: call.ReasonNoEndpoint}
+		g.observer.Attempted(c, e, r, 0, 0)
+		return r
+	}
+	deadline := arrived + c.Left
+	ticket, refusal := e.Queue.Offer(slotqueue.Work{
+		Class:    slotqueue.Class{Kind: c.Kind, Rank: c.Rank, Nested: c.Nested},
+		TargetBy: arrived + c.TargetLeft, DeadlineBy: deadline,
+	}, arrived)
+	if refusal != nil {
+		return g.done(c, e, call.Result{Fate: call.Refused, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}, 0, 0)
+	}
+	if reason := g.await(ctx, e, ticket); reason != "" {
+		return g.done(c, e, call.Result{Fate: call.Refused, Reason: reason}, g.clock()-arrived, 0)
+	}
+	started := g.clock()
+	x := &exchange{gate: g, e: e, c: c, left: deadline - started}
+	var once sync.Once
+	x.release = func(r call.Result) {
+		once.Do(func() {
+			g.account(e, ticket, r, g.clock()-started)
+		})
+	}
+	if x.left < leastLeft {
+		r := call.Result{Fate: call.Refused, Reason: call.ReasonTooLate}
+		x.release(r)
+		return g.done(c, e, r, started-arrived, 0)
+	}
+	r := x.run(ctx)
+	if r.Answer == nil || r.Answer.Stream == nil {
+		x.release(r)
+	}
+	if r.Reason == call.ReasonMoved {
+		g.registration.Suspect(e)
+	}
+	return g.done(c, e, r, started-arrived, g.clock()-started)
+}
+
+// await waits for the ticket's slot. It returns the reason when there is none.
+func (g *Gate) await(ctx context.Context, e *Endpoint, ticket *slotqueue.Ticket) string {
+	select {
+	case granted := <-ticket.Ready():
+		return refusedFor(granted, ticket)
+	default:
+	}
+	now := g.clock()
+	timer := time.NewTimer(max(0, e.Queue.LatestStart(ticket, now)-now))
+	defer timer.Stop()
+	reason := call.ReasonCancelled
+	select {
+	case granted := <-ticket.Ready():
+		return refusedFor(granted, ticket)
+	case <-timer.C:
+		reason = call.ReasonTooLate
+	case <-ctx.Done():
+	}
+	if !e.Queue.Withdraw(ticket) && <-ticket.Ready() {
+		e.Queue.Done(ticket, 0, g.clock())
+	}
+	return reason
+}
+
+func refusedFor(granted bool, ticket *slotqueue.Ticket) string {
+	if granted {
+		return ""
+	}
+	return ticket.Reason()
+}
+
+// account gives the slot back and follows the endpoint's health.
+func (g *Gate) account(e *Endpoint, ticket *slotqueue.Ticket, r call.Result, ran time.Duration) {
+	sample := time.Duration(0)
+	switch {
+	case r.Fate == call.Answered:
+		failed := r.Answer != nil && r.Answer.Status >= http.StatusInternalServerError
+		e.Health.Observe(failed)
+		if !failed {
+			sample = ran
+		}
+	case r.Reason == call.ReasonCancelled:
+	case r.Sent || r.Reason == call.ReasonConnect:
+		e.Health.Observe(true)
+	}
+	e.Queue.Done(ticket, sample, g.clock())
+}
+
+func (g *Gate) done(c *call.Call, e *Endpoint, r call.Result, waited, ran time.Duration) call.Result {
+	r.Load, r.HasLoad = e.Queue.Load(), true
+	g.observer.Attempted(c, e, r, waited, ran)
+	return r
+}
--- /dev/null
+++ b/hostnode/control.go
@@ -0,0 +1,82 @@
+package hostnode
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"geraniumnotch.example/geraniumnotch/hosted"
+	"geraniumnotch.example/geraniumnotch/mesh"
+	"geraniumnotch.example/geraniumnotch/platform"
+)
+
+const (
+	// maxAnnouncement bounds the body of an announcement, of which a good one has
+	// about 300 bytes.
+	maxAnnouncement = 16 << 10
+	// controlReadTimeout bounds the reading of a call of the platform or the
+	// endpoint.
+	controlReadTimeout = 5 * time.Second
+)
+
+// announcementServer takes announcements of the endpoint.
+func (n *Node) announcementServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.PathHeartbeat, n.onHeartbeat)
+	mux.HandleFunc(platform.PathDeregister, n.onDeregister)
+	return &http.Server{Handler: mux, ReadTimeout: controlReadTimeout}
+}
+
+func (n *Node) onHeartbeat(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnnouncement))
+	if err != nil {
+		http.Error(w, "body incomplete", http.StatusBadRequest)
+		return
+	}
+	a, err := platform.DecodeHeartbeat(id, body)
+	if err != nil {
+		eventEndpointBad.Log(n.logger, "endpoint", id, "error", err)
+		http.Error(w, "malformed announcement", http.StatusBadRequest)
+		return
+	}
+	verdict := n.registration.Announce(a)
+	if verdict == hosted.Foreign {
+		// The settings may have changed without a signal.
+		n.reload()
+		verdict = n.registration.Announce(a)
+	}
+	switch verdict {
+	case hosted.Foreign:
+		eventEndpointBad.Log(n.logger, "endpoint", id, "service", a.Service, "address", a.Address, "error", "not the endpoint beside this node")
+	case hosted.Renewed:
+	default:
+		eventEndpoint.Log(n.logger, "endpoint", id, "service", a.Service, "verdict", verdict, "sequence", a.Sequence, "slots", a.Slots, "leaving", a.Leaving)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(platform.HeartbeatReply) // The endpoint repeats a call without an answer.
+}
+
+func (n *Node) onDeregister(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxAnnouncement))
+	if err != nil {
+		http.Error(w, "body incomplete", http.StatusBadRequest)
+		return
+	}
+	left := n.registration.Deregister(mesh.EndpointID(id), platform.DecodeDeregister(body))
+	eventEndpoint.Log(n.logger, "endpoint", id, "verdict", "deregistered", "in_use", left)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(platform.HeartbeatReply) // The endpoint repeats a call without an answer.
+}
+
+// readyServer says whether clients may send calls.
+func (n *Node) readyServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.PathReadiness, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return &http.Server{Handler: mux, ReadTimeout: controlReadTimeout}
+}
--- /dev/null
+++ b/hostnode/observe.go
@@ -0,0 +1,105 @@
+package hostnode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"golang.org/x/time/rate"
+
+	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/entrance"
+	"geraniumnotch.example/geraniumnotch/hosted"
+)
+
+// Lines about calls are bounded for each kind of line, so that a flood of
+// answered calls cannot hide the failed ones.
+const (
+	finishedPerSecond = 40
+	failedPerSecond   = 60
+	attemptsPerSecond = 60
+)
+
+// observer logs and counts what happens to calls. It never blocks.
+type observer struct {
+	logger                     hclog.Logger
+	finished, failed, attempts *rate.Limiter
+	calls                      metric.Int64Counter
+	duration                   metric.Float64Histogram
+	tries                      metric.Int64Counter
+	queueTime                  metric.Float64Histogram
+	suppressed                 metric.Int64Counter
+}
+
+// latencyBounds are the histogram's bounds in seconds, around the usual targets.
+var latencyBounds = metric.WithExplicitBucketBoundaries(0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 3, 6)
+
+func newObserver(logger hclog.Logger, meter metric.Meter) (*observer, error) {
+	o := &observer{
+		logger:   logger,
+		finished: rate.NewLimiter(finishedPerSecond, finishedPerSecond),
+		failed:   rate.NewLimiter(failedPerSecond, failedPerSecond),
+		attempts: rate.NewLimiter(attemptsPerSecond, attemptsPerSecond),
+	}
+	var errs [5]error
+	o.calls, errs[0] = meter.Int64Counter("host_calls", metric.WithDescription("calls of clients and of the endpoint by status and reason"))
+	o.duration, errs[1] = meter.Float64Histogram("host_call_seconds", latencyBounds, metric.WithDescription("time from the head of a request to its answer"))
+	o.tries, errs[2] = meter.Int64Counter("host_attempts", metric.WithDescription("attempts at the endpoint of the host by fate and reason"))
+	o.queueTime, errs[3] = meter.Float64Histogram("host_queue_seconds", latencyBounds, metric.WithDescription("time that attempts waited for a slot"))
+	o.suppressed, errs[4] = meter.Int64Counter("host_log_lines_suppressed", metric.WithDescription("lines about calls beyond their rate"))
+	return o, errors.Join(errs[:]...)
+}
+
+// Finished implements entrance.Observer.
+func (o *observer) Finished(e *entrance.Exchange) {
+	ctx := context.Background()
+	o.calls.Add(ctx, 1, metric.WithAttributes(attribute.Int("status", e.Status), attribute.String("reason", e.Reason)))
+	o.duration.Record(ctx, e.Took.Seconds())
+	event, limiter := eventCall, o.finished
+	if e.Status >= http.StatusBadRequest || e.Status == 0 {
+		event, limiter = eventCallError, o.failed
+	}
+	if !limiter.Allow() {
+		o.suppressed.Add(ctx, 1)
+		return
+	}
+	args := []any{
+		"id", e.ID, "status", e.Status, "took_ms", e.Took.Milliseconds(), "plan", e.Plan, "service", e.Service,
+		"host", e.Host, "sent", e.Sent, "refusals", e.Refusals,
+	}
+	if e.Route != nil {
+		args = append(args, "route", e.Route.Name, "kind", e.Route.Kind.String(), "rank", e.Route.Rank)
+	}
+	if event == eventCallError {
+		args = append(args, "reason", e.Reason, "fate", e.Result.Fate.String(), "nested", e.Nested,
+			"wait_ms", e.Wait.Milliseconds(), "age_ms", e.Age.Milliseconds(), "retry_after_ms", e.Result.RetryAfter.Milliseconds())
+	}
+	event.Log(o.logger, args...)
+}
+
+// Attempted implements hosted.Observer.
+func (o *observer) Attempted(c *call.Call, e *hosted.Endpoint, r call.Result, waited, ran time.Duration) {
+	ctx := context.Background()
+	o.tries.Add(ctx, 1, metric.WithAttributes(attribute.String("fate", r.Fate.String()), attribute.String("reason", r.Reason)))
+	o.queueTime.Record(ctx, waited.Seconds())
+	if r.Fate == call.Answered {
+		return
+	}
+	if !o.attempts.Allow() {
+		o.suppressed.Add(ctx, 1)
+		return
+	}
+	args := []any{
+		"id", c.ID, "fate", r.Fate.String(), "reason", r.Reason, "sent", r.Sent, "rank", c.Rank, "nested", c.Nested,
+		"waited_ms", waited.Milliseconds(), "ran_ms", ran.Milliseconds(), "left_ms", c.Left.Milliseconds(),
+		"target_left_ms", c.TargetLeft.Milliseconds(), "running", r.Load.Running, "waiting", r.Load.Waiting,
+	}
+	if e != nil {
+		args = append(args, "endpoint", e.ID, "sequence", e.Sequence, "slots", e.Slots)
+	}
+	eventAttempt.Log(o.logger, args...)
+}
--- /dev/null
+++ b/hostnode/registrar.go
@@ -0,0 +1,127 @@
+package hostnode
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"geraniumnotch.example/geraniumnotch/peers"
+	"geraniumnotch.example/geraniumnotch/platform"
+)
+
+const (
+	// hostsPrefix is where hosts register.
+	hostsPrefix = "geraniumnotch/hosts/"
+	// leaseLifetime bounds how long the record of a dead host stays. Hosts notice
+	// a dead one by its link; the record only matters to hosts that start.
+	leaseLifetime = 15 * time.Second
+	// renewInterval leaves time for two further attempts before the lease ends.
+	renewInterval = 5 * time.Second
+	// renewRetry is the pause after a failed renewal. A host is registered again
+	// within two seconds of the store's return.
+	renewRetry = 1200 * time.Millisecond
+	// listEvery is the number of renewals between two reads of all hosts. They
+	// find hosts that started while this one could not be reached.
+	listEvery = 2
+)
+
+// registrar keeps the host's record in the store and reads those of others.
+type registrar struct {
+	store  *platform.Store
+	record peers.Record
+	logger hclog.Logger
+	learn  func(...peers.Record)
+	health dependency
+	// listed is set once the hosts have been read.
+	listed atomic.Bool
+}
+
+func (r *registrar) run(ctx context.Context) {
+	lease, round := uint64(0), 0
+	for ctx.Err() == nil {
+		err := r.round(ctx, &lease, round)
+		r.health.observe(err)
+		if err != nil {
+			if !sleep(ctx, jittered(renewRetry)) {
+				return
+			}
+			continue
+		}
+		round++
+		sleep(ctx, jittered(renewInterval))
+	}
+}
+
+// round registers or renews, and reads the other hosts when it is time. The
+// record is written before the others are read, so that of two hosts that start
+// together one finds the other.
+func (r *registrar) round(ctx context.Context, lease *uint64, round int) error {
+	if *lease != 0 {
+		err := r.renew(ctx, *lease)
+		if errors.Is(err, platform.ErrStoreLease) {
+			*lease = 0
+		} else if err != nil {
+			return err
+		}
+	}
+	if *lease == 0 {
+		granted, err := r.register(ctx)
+		if err != nil {
+			return err
+		}
+		*lease = granted
+	}
+	if r.listed.Load() && round%listEvery != 0 {
+		return nil
+	}
+	return r.list(ctx, r.listed.Load())
+}
+
+func (r *registrar) renew(ctx context.Context, lease uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.store.Renew(ctx, lease)
+}
+
+func (r *registrar) register(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	lease, _, err := r.store.Grant(ctx, leaseLifetime)
+	if err != nil {
+		return 0, err
+	}
+	value, err := peers.EncodeRecord(r.record)
+	if err != nil {
+		return 0, err
+	}
+	if err := r.store.Put(ctx, hostsPrefix+string(r.record.Host), value, lease); err != nil {
+		return 0, err
+	}
+	eventRegistered.Log(r.logger, "lease", lease)
+	return lease, nil
+}
+
+func (r *registrar) list(ctx context.Context, stale bool) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	items, _, err := r.store.List(ctx, hostsPrefix, stale)
+	if err != nil {
+		return err
+	}
+	records := make([]peers.Record, 0, len(items))
+	for _, item := range items {
+		record, err := peers.DecodeRecord(item.Value)
+		if err != nil || string(record.Host) != strings.TrimPrefix(item.Key, hostsPrefix) {
+			eventRecordBad.Log(r.logger, "key", item.Key, "error", err)
+			continue
+		}
+		records = append(records, record)
+	}
+	r.learn(records...)
+	r.listed.Store(true)
+	return nil
+}
--- /dev/null
+++ b/hostnode/settings.go
@@ -0,0 +1,163 @@
+package hostnode
+
+import (
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"geraniumnotch.example/geraniumnotch/hosted"
+	"geraniumnotch.example/geraniumnotch/inifile"
+	"geraniumnotch.example/geraniumnotch/mesh"
+	"geraniumnotch.example/geraniumnotch/repeats"
+)
+
+// Settings of a node beside an endpoint on the platform.
+type Settings struct {
+	Host          mesh.HostID
+	IP            netip.Addr
+	FailureDomain mesh.FailureDomain
+	Endpoint      hosted.Identity
+	MemoryMB      int
+	Listen        Listen
+	StoreAddress  string
+	// Drain bounds the time from a stop signal to the end of the process.
+	Drain time.Duration
+	// PlanDeadline is the time within which a new plan must be in force.
+	PlanDeadline time.Duration
+	Repeats      repeats.Bound
+}
+
+// Listen holds the addresses that the node listens on.
+type Listen struct {
+	// Calls is for clients and the endpoint of the host, Peers for other hosts,
+	// Ready and Announcements for the platform and the endpoint.
+	Calls, Peers, Ready, Announcements, Metrics string
+}
+
+// maxSettingsBytes bounds a settings file, which has about 30 lines.
+const maxSettingsBytes = 64 << 10
+
+// ErrSettings means that a settings file cannot be used. The error lists all
+// problems.
+var ErrSettings = errors.New("hostnode: invalid settings")
+
+// LoadSettings reads a settings file.
+func LoadSettings(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "hostnode: read settings"), ErrSettings)
+	}
+	s, err := ParseSettings(text)
+	return s, errors.Wrapf(err, "%s", path)
+}
+
+// ParseSettings reads settings in INI.
+func ParseSettings(text []byte) (*Settings, error) {
+	sections, problems := inifile.Parse(text, maxSettingsBytes)
+	p := &settingsParser{values: map[string]inifile.Value{}, problems: problems}
+	for _, section := range sections {
+		for _, v := range section.Values {
+			p.values[section.Name+"."+v.Key] = v
+		}
+	}
+	s := &Settings{
+		Host:          mesh.HostID(p.text("host", "name")),
+		IP:            p.ip("host", "ip"),
+		FailureDomain: mesh.FailureDomain(p.text("host", "failure-domain")),
+		MemoryMB:      p.number("host", "memory-mb", 16, 1<<20),
+		Listen: Listen{
+			Calls: p.address("listen", "calls"), Peers: p.address("listen", "peers"), Ready: p.address("listen", "ready"),
+			Announcements: p.address("listen", "announcements"), Metrics: p.address("listen", "metrics"),
+		},
+		StoreAddress: p.address("store", "address"),
+		Drain:        p.seconds("bounds", "drain-s"),
+		PlanDeadline: p.milliseconds("bounds", "plan-deadline-ms"),
+		Repeats: repeats.Bound{
+			Ratio: p.fraction("bounds", "repeat-ratio"), Slack: p.fraction("bounds", "repeat-slack"), Window: p.seconds("bounds", "repeat-window-s"),
+		},
+	}
+	s.Endpoint = hosted.Identity{
+		Service: mesh.ServiceName(p.text("endpoint", "service")), Address: p.address("endpoint", "address"), FailureDomain: s.FailureDomain,
+	}
+	return s, p.err()
+}
+
+type settingsParser struct {
+	values   map[string]inifile.Value
+	problems []inifile.Problem
+}
+
+func (p *settingsParser) fail(section, key, expected string) {
+	v := p.values[section+"."+key]
+	p.problems = append(p.problems, inifile.Problem{Section: section, Key: key, Line: v.Line, Value: v.Text, Expected: expected})
+}
+
+func (p *settingsParser) err() error {
+	if len(p.problems) == 0 {
+		return nil
+	}
+	err := ErrSettings
+	for _, problem := range p.problems {
+		err = errors.Wrap(err, problem.Error())
+	}
+	return err
+}
+
+func (p *settingsParser) text(section, key string) string {
+	text := p.values[section+"."+key].Text
+	if text == "" {
+		p.fail(section, key, "a value")
+	}
+	return text
+}
+
+func (p *settingsParser) ip(section, key string) netip.Addr {
+	ip, err := netip.ParseAddr(p.values[section+"."+key].Text)
+	if err != nil {
+		p.fail(section, key, "an IP address")
+	}
+	return ip
+}
+
+func (p *settingsParser) address(section, key string) string {
+	text := p.values[section+"."+key].Text
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		p.fail(section, key, "an IP address and port")
+	}
+	return text
+}
+
+func (p *settingsParser) number(section, key string, least, most int) int {
+	n, err := strconv.Atoi(p.values[section+"."+key].Text)
+	if err != nil || n < least || n > most {
+		p.fail(section, key, "a whole number from "+strconv.Itoa(least)+" to "+strconv.Itoa(most))
+	}
+	return n
+}
+
+func (p *settingsParser) fraction(section, key string) float64 {
+	f, err := strconv.ParseFloat(p.values[section+"."+key].Text, 64)
+	if err != nil || !(f >= 0) || f > 1e9 {
+		p.fail(section, key, "a number of 0 or more")
+	}
+	return f
+}
+
+func (p *settingsParser) seconds(section, key string) time.Duration {
+	return p.duration(section, key, time.Second)
+}
+
+func (p *settingsParser) milliseconds(section, key string) time.Duration {
+	return p.duration(section, key, time.Millisecond)
+}
+
+func (p *settingsParser) duration(section, key string, unit time.Duration) time.Duration {
+	f, err := strconv.ParseFloat(p.values[section+"."+key].Text, 64)
+	if err != nil || !(f > 0) || f > 1e9 {
+		p.fail(section, key, "a number above 0")
+	}
+	return time.Duration(f * float64(unit))
+}
--- /dev/null
+++ b/peers/types.go
@@ -0,0 +1,67 @@
+// Package peers knows the other hosts of the mesh: their addresses, the links to
+// them, what they report, and which of their endpoints can take calls. Hosts
+// find each other in the store once and tell each other everything else.
+package peers
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"geraniumnotch.example/geraniumnotch/mesh"
+)
+
+// Record is what has to be known of a host to reach it. It is what the store
+// keeps.
+type Record struct {
+	Host          mesh.HostID        `cbor:"1,keyasint"`
+	Address       string             `cbor:"2,keyasint"`
+	FailureDomain mesh.FailureDomain `cbor:"3,keyasint"`
+	// Incarnation is the time of day at which the process started, in
+	// nanoseconds. A later record of a host replaces an earlier one.
+	Incarnation int64 `cbor:"4,keyasint"`
+}
+
+// EncodeRecord returns the store's form of a record.
+func EncodeRecord(r Record) ([]byte, error) { return cbor.Marshal(r) }
+
+// DecodeRecord reads a record of the store.
+func DecodeRecord(value []byte) (Record, error) {
+	var r Record
+	err := cbor.Unmarshal(value, &r)
+	return r, err
+}
+
+// EndpointStatus is what a host reports of its endpoint.
+type EndpointStatus struct {
+	ID      mesh.EndpointID  `cbor:"1,keyasint"`
+	Service mesh.ServiceName `cbor:"2,keyasint"`
+	Slots   int              `cbor:"3,keyasint"`
+	Running int              `cbor:"4,keyasint,omitempty"`
+	Waiting int              `cbor:"5,keyasint,omitempty"`
+	// MeanRun is the mean run time of calls, 0 when unknown.
+	MeanRun time.Duration `cbor:"6,keyasint,omitempty"`
+	// FailPercent is the recent share of failed answers.
+	FailPercent int  `cbor:"7,keyasint,omitempty"`
+	Cold        bool `cbor:"8,keyasint,omitempty"`
+}
+
+// Status is what a host reports to its peers.
+type Status struct {
+	Record      Record `cbor:"1,keyasint"`
+	PlanVersion uint64 `cbor:"2,keyasint,omitempty"`
+	// Leaving is set once the host's process has begun to stop.
+	Leaving bool `cbor:"3,keyasint,omitempty"`
+	// Endpoint is nil while the host has none that takes calls.
+	Endpoint *EndpointStatus `cbor:"4,keyasint,omitempty"`
+}
+
+type planRequest struct {
+	_     struct{} `cbor:",toarray"`
+	After uint64
+}
+
+type planValue struct {
+	_     struct{} `cbor:",toarray"`
+	Value []byte
+}
--- /dev/null
+++ b/routeplan/routeplan.go
@@ -0,0 +1,196 @@
+// Package routeplan holds the operator's configuration as immutable values: the
+// routes with their services, weights, time limits and ranks, and the limits for
+// clients. A plan is decoded and validated as a whole and replaced as a whole.
+package routeplan
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"geraniumnotch.example/geraniumnotch/mesh"
+)
+
+// Errors of Validate.
+var (
+	ErrNoVersion   = errors.New("routeplan: version is zero")
+	ErrRoute       = errors.New("routeplan: malformed route")
+	ErrLimit       = errors.New("routeplan: limit out of range")
+	ErrNoService   = errors.New("routeplan: route to a service that the plan lacks")
+	ErrDuplicate   = errors.New("routeplan: two routes with the same host and prefix")
+	ErrZeroWeights = errors.New("routeplan: split without a positive weight")
+)
+
+// Kind says what may be repeated.
+type Kind uint8
+
+// The kinds of calls. Only Idempotent calls may run more than once.
+const (
+	Idempotent Kind = iota + 1
+	AtMostOnce
+	Upload
+)
+
+// String returns the name of the kind for logs.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case AtMostOnce:
+		return "at_most_once"
+	case Upload:
+		return "upload"
+	}
+	return "unknown"
+}
+
+// Part is one service of a route with its share of the calls.
+type Part struct {
+	Service mesh.ServiceName
+	// Weight is relative to the other parts of the route.
+	Weight float64
+}
+
+// Route says where calls of a host name and path prefix go.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Target is the time within which an answer has its full worth.
+	Target time.Duration
+	// Rank is the priority; 0 is the most urgent.
+	Rank uint8
+	// MaxAttempts is the number of endpoints that one call may be sent to.
+	MaxAttempts int
+	Parts       []Part
+}
+
+// Service describes a service of the plan.
+type Service struct {
+	Name           mesh.ServiceName
+	HealthPath     string
+	MaxConnections int
+}
+
+// Limits bound what a client may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Plan is one version of the configuration. It must not be modified after
+// Compile.
+type Plan struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+
+	byHost   map[string]map[string]*Route
+	services map[mesh.ServiceName]*Service
+}
+
+// Compile validates the plan and builds its index. The plan is unusable when an
+// error is returned.
+func (p *Plan) Compile() error {
+	if p.Version == 0 {
+		return ErrNoVersion
+	}
+	if p.Limits.HeaderBytes <= 0 || p.Limits.BodyBytes <= 0 || p.Limits.HeaderTimeout <= 0 || p.Limits.IdleTimeout <= 0 {
+		return errors.Wrapf(ErrLimit, "%+v", p.Limits)
+	}
+	p.services = make(map[mesh.ServiceName]*Service, len(p.Services))
+	for i := range p.Services {
+		p.services[p.Services[i].Name] = &p.Services[i]
+	}
+	p.byHost = map[string]map[string]*Route{}
+	for i := range p.Routes {
+		if err := p.index(&p.Routes[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *Plan) index(r *Route) error {
+	switch {
+	case r.Host == "" || len(r.Prefix) == 0 || r.Prefix[0] != '/' || r.Prefix[len(r.Prefix)-1] != '/':
+		return errors.Wrapf(ErrRoute, "%s: host %q, prefix %q", r.Name, r.Host, r.Prefix)
+	case r.Kind < Idempotent || r.Kind > Upload:
+		return errors.Wrapf(ErrRoute, "%s: unknown kind", r.Name)
+	case r.Timeout <= 0 || r.Target <= 0 || r.MaxAttempts < 1 || len(r.Parts) == 0:
+		return errors.Wrapf(ErrRoute, "%s: timeout %s, target %s, attempts %d, parts %d", r.Name, r.Timeout, r.Target, r.MaxAttempts, len(r.Parts))
+	}
+	total := 0.0
+	for _, part := range r.Parts {
+		if p.services[part.Service] == nil {
+			return errors.Wrapf(ErrNoService, "%s to %q", r.Name, part.Service)
+		}
+		if part.Weight < 0 {
+			return errors.Wrapf(ErrZeroWeights, "%s", r.Name)
+		}
+		total += part.Weight
+	}
+	if total <= 0 {
+		return errors.Wrapf(ErrZeroWeights, "%s", r.Name)
+	}
+	prefixes := p.byHost[r.Host]
+	if prefixes == nil {
+		prefixes = map[string]*Route{}
+		p.byHost[r.Host] = prefixes
+	}
+	if prefixes[r.Prefix] != nil {
+		return errors.Wrapf(ErrDuplicate, "%s %s", r.Host, r.Prefix)
+	}
+	prefixes[r.Prefix] = r
+	return nil
+}
+
+// Match returns the route of the host whose prefix is the longest that begins
+// the path, or nil. A query is not part of the path.
+func (p *Plan) Match(host, path string) *Route {
+	prefixes := p.byHost[host]
+	if prefixes == nil {
+		return nil
+	}
+	for i := len(path); i > 0; i-- {
+		if path[i-1] == '/' {
+			if r := prefixes[path[:i]]; r != nil {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
+// Service returns the service with the name, or nil.
+func (p *Plan) Service(name mesh.ServiceName) *Service { return p.services[name] }
+
+// Current holds the plan in force. The zero value holds none. Reads take no
+// lock.
+type Current struct {
+	plan atomic.Pointer[Plan]
+	mu   sync.Mutex
+}
+
+// Load returns the plan in force, or nil.
+func (c *Current) Load() *Plan { return c.plan.Load() }
+
+// Offer puts a compiled plan in force and reports true, unless the plan in force
+// has the same or a higher version.
+func (c *Current) Offer(p *Plan) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.plan.Load(); old != nil && old.Version >= p.Version {
+		return false
+	}
+	c.plan.Store(p)
+	return true
+}
