Plan freshness is gossiped, nested calls are known by their parent

Change: package freshness; one host reads the store, reports carry how current the plan is. Running calls tell nested ones by ID; such a 500 is not repeated and not counted against the endpoint.

--- a/call/call.go
+++ b/call/call.go
@@ -106,6 +106,9 @@
 	// Load is the occupancy of the gate after the attempt, valid if HasLoad.
 	Load    Load
 	HasLoad bool
+	// NestedFailed is set when a call failed that the endpoint made meanwhile. A
+	// repeat would only make that call again.
+	NestedFailed bool
 	// Answer is set when Fate is Answered.
 	Answer *Answer
 }
--- a/entrance/exchange.go
+++ b/entrance/exchange.go
@@ -36,7 +36,7 @@
 
 func (c *connection) newExchange(id string, started boottime.Time) *exchange {
 	x := &exchange{c: c, started: started, before: c.tail, done: make(chan struct{})}
-	x.ID, x.Nested = id, c.nested
+	x.ID = id
 	c.tail = x.done
 	c.pending.Add(1)
 	c.server.active.Add(1)
@@ -47,6 +47,9 @@
 func (x *exchange) finish() {
 	c := x.c
 	x.Took = c.server.config.Clock() - x.started
+	if x.Nested && (x.Status >= http.StatusBadRequest || x.Status == 0) {
+		c.server.config.Running.ChildFailed(x.ID)
+	}
 	c.server.config.Observer.Finished(&x.Exchange)
 	c.server.active.Add(-1)
 	if x.closing {
@@ -129,13 +132,17 @@
 	if x.Wait > 0 {
 		left = min(left, x.Wait)
 	}
+	x.Rank = x.Route.Rank
+	if rank, nested := s.config.Running.Parent(x.ID); nested {
+		x.Rank, x.Nested = rank, true
+	}
 	if !x.Nested && x.Wait > 0 {
 		x.Age = s.ages.Observe(x.Route, x.Wait, x.started)
 	}
 	removeConnectionHeaders(request.Header)
 	return &call.Call{
 		ID: x.ID, Method: request.Method, URI: request.RequestURI, Host: request.Host, Header: request.Header,
-		Caller: s.config.Caller(), Service: part.Service, Kind: x.Route.Kind, Rank: x.Route.Rank, Nested: x.Nested,
+		Caller: s.config.Caller(), Service: part.Service, Kind: x.Route.Kind, Rank: x.Rank, Nested: x.Nested,
 		Left: left, TargetLeft: min(x.Route.Target-x.Age, left), BodyBytes: request.ContentLength,
 	}
 }
--- a/entrance/forward.go
+++ b/entrance/forward.go
@@ -114,7 +114,7 @@
 	case r.Fate == call.Broken && a.c.Idempotent():
 		return r, a.mayRepeat()
 	case r.Fate == call.Answered && a.c.Idempotent() && r.Answer.Status >= http.StatusInternalServerError &&
-		r.Answer.Stream == nil && a.timeForRepeat() && a.mayRepeat():
+		r.Answer.Stream == nil && !r.NestedFailed && a.timeForRepeat() && a.mayRepeat():
 		a.fallback = r.Answer
 		return r, true
 	}
--- a/entrance/server.go
+++ b/entrance/server.go
@@ -16,6 +16,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/hosted"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/routeplan"
 )
@@ -47,10 +48,13 @@
 	Route   *routeplan.Route
 	Service mesh.ServiceName
 	Plan    uint64
-	Nested  bool
-	Wait    time.Duration
-	Age     time.Duration
-	Result  call.Result
+	// Nested is set for a call that the endpoint makes while it runs another.
+	Nested bool
+	// Rank is that of the route, or of the call that made this one.
+	Rank   uint8
+	Wait   time.Duration
+	Age    time.Duration
+	Result call.Result
 	// Status is what the client got, 0 when the client left before.
 	Status   int
 	Reason   string
@@ -69,9 +73,8 @@
 	Observer  Observer
 	// Caller returns the service of this host.
 	Caller func() mesh.ServiceName
-	// FromEndpoint reports whether a connection comes from the endpoint of this
-	// host.
-	FromEndpoint func(remote net.Addr) bool
+	// Running holds the calls that the endpoint of this host runs.
+	Running *hosted.Running
 }
 
 // Server serves connections of clients.
@@ -135,7 +138,6 @@
 	r      *bufio.Reader
 	limit  *headLimit
 	ctx    context.Context
-	nested bool
 	// pending counts the requests that are not answered yet.
 	pending atomic.Int64
 	// reading is set while a part of a request has arrived.
@@ -169,7 +171,7 @@
 func (s *Server) connect(raw net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	c := &connection{server: s, net: raw, limit: &headLimit{Conn: raw}, ctx: ctx, nested: s.config.FromEndpoint(raw.RemoteAddr())}
+	c := &connection{server: s, net: raw, limit: &headLimit{Conn: raw}, ctx: ctx}
 	c.r = bufio.NewReaderSize(c.limit, readBufferBytes)
 	c.tail = make(chan struct{})
 	close(c.tail)
--- a/hop/messages.go
+++ b/hop/messages.go
@@ -85,6 +85,8 @@
 	Body   []byte
 	More   bool
 	Load   call.Load
+	// NestedFailed is set when a call failed that the endpoint made meanwhile.
+	NestedFailed bool
 }
 
 // failedFrame ends an attempt without an answer.
--- a/hop/mux.go
+++ b/hop/mux.go
@@ -310,7 +310,8 @@
 	a := r.Answer
 	defer a.Close()
 	head := headFrame{
-		Stream: stream, Status: a.Status, Header: flatten(a.Header), Bytes: a.Bytes, Body: a.Body, More: a.Stream != nil, Load: r.Load,
+		Stream: stream, Status: a.Status, Header: flatten(a.Header), Bytes: a.Bytes, Body: a.Body, More: a.Stream != nil,
+		Load: r.Load, NestedFailed: r.NestedFailed,
 	}
 	if err := m.send(transport.KindAnswerHead, head); err != nil || a.Stream == nil {
 		return
@@ -409,7 +410,7 @@
 	if f.More {
 		a.Stream = io.NopCloser(bytes.NewReader(nil)) // Run puts the pipe in its place.
 	}
-	o.deliver(call.Result{Fate: call.Answered, Sent: true, Load: f.Load, HasLoad: true, Answer: a})
+	o.deliver(call.Result{Fate: call.Answered, Sent: true, Load: f.Load, HasLoad: true, Answer: a, NestedFailed: f.NestedFailed})
 	return nil
 }
 
--- a/hosted/gate.go
+++ b/hosted/gate.go
@@ -29,11 +29,13 @@
 	headers      call.Headers
 	clock        boottime.Clock
 	observer     Observer
+	// Running holds the calls that the endpoint runs.
+	Running *Running
 }
 
 // NewGate returns the gate of the registered endpoint.
 func NewGate(registration *Registration, headers call.Headers, clock boottime.Clock, observer Observer) *Gate {
-	return &Gate{registration: registration, headers: headers, clock: clock, observer: observer}
+	return &Gate{registration: registration, headers: headers, clock: clock, observer: observer, Running: NewRunning()}
 }
 
 // Run waits for a slot and runs the call. The call is withdrawn when ctx ends
@@ -70,7 +72,9 @@
 		x.release(r)
 		return g.done(c, e, r, started-arrived, 0)
 	}
+	g.Running.begin(c.ID, c.Rank)
 	r := x.run(ctx)
+	r.NestedFailed = g.Running.end(c.ID)
 	if r.Answer == nil || r.Answer.Stream == nil {
 		x.release(r)
 	}
@@ -117,7 +121,9 @@
 	switch {
 	case r.Fate == call.Answered:
 		failed := r.Answer != nil && r.Answer.Status >= http.StatusInternalServerError
-		e.Health.Observe(failed)
+		if !failed || !r.NestedFailed {
+			e.Health.Observe(failed)
+		}
 		if !failed {
 			sample = ran
 		}
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/entrance"
+	"geraniumnotch.example/geraniumnotch/freshness"
 	"geraniumnotch.example/geraniumnotch/hosted"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/metrics"
@@ -86,8 +86,11 @@
 	n := &Node{path: path, logger: logger, metrics: registry, started: time.Now(), store: platform.OpenStore(s.StoreAddress)}
 	n.settings.Store(s)
 	n.keeper = &planKeeper{
-		store: n.store, current: &n.plan, logger: logger, gather: time.Duration(gatherShare * float64(s.PlanDeadline)),
-		changed: n.onPlan, health: dependency{logger: logger, name: "plan"},
+		store: n.store, current: &n.plan, logger: logger, fresh: freshness.New(s.PlanDeadline),
+		rank:    func() (int, int) { return n.directory.Rank() },
+		ask:     func(host mesh.HostID) error { return n.directory.AskPlan(host) },
+		changed: func() { n.directory.Changed() },
+		health:  dependency{logger: logger, name: "plan"},
 	}
 	n.registration = hosted.NewRegistration(s.Endpoint, boottime.Now, func(*hosted.Endpoint) { n.directory.Changed() })
 	gate := hosted.NewGate(n.registration, platform.Headers{}, boottime.Now, watch)
@@ -95,6 +98,9 @@
 	n.directory = peers.New(peers.Config{
 		Self: record, Logger: logger, Clock: boottime.Now, Local: gate,
 		Report: n.report, Plan: n.keeper.plan, OfferPlan: n.keeper.offerFromPeer,
+		HeardPlan: func(from mesh.HostID, sameDomain bool, version uint64, age time.Duration) {
+			n.keeper.fresh.Heard(from, sameDomain, version, age, boottime.Now())
+		},
 	})
 	n.registrar = &registrar{
 		store: n.store, record: record, logger: logger, learn: n.directory.Learn, health: dependency{logger: logger, name: "hosts"},
@@ -105,23 +111,15 @@
 			Domain: s.FailureDomain, Peers: n.directory, Local: gate, Endpoint: n.registration, Clock: boottime.Now,
 			Repeats: repeats.New(s.Repeats, boottime.Now, n.directory.Hosts),
 		},
-		Caller:       func() mesh.ServiceName { return n.settings.Load().Endpoint.Service },
-		FromEndpoint: func(remote net.Addr) bool { return isAddress(remote, s.IP) },
+		Caller:  func() mesh.ServiceName { return n.settings.Load().Endpoint.Service },
+		Running: gate.Running,
 	})
 	return n, nil
 }
 
-func isAddress(remote net.Addr, ip netip.Addr) bool {
-	tcp, ok := remote.(*net.TCPAddr)
-	return ok && tcp.AddrPort().Addr().Unmap() == ip
-}
-
-// onPlan runs after a plan came in force.
-func (n *Node) onPlan(*routeplan.Plan) { n.directory.Changed() }
-
 // report is the host's status for its peers.
 func (n *Node) report() peers.Status {
-	s := peers.Status{PlanVersion: n.keeper.version(), Leaving: n.stopping.Load()}
+	s := peers.Status{PlanVersion: n.keeper.version(), PlanAge: n.keeper.fresh.Age(boottime.Now()), Leaving: n.stopping.Load()}
 	if e := n.registration.Current(); e != nil && !e.Leaving {
 		load, now := e.Queue.Load(), boottime.Now()
 		s.Endpoint = &peers.EndpointStatus{
--- a/hostnode/observe.go
+++ b/hostnode/observe.go
@@ -72,7 +72,7 @@
 		"host", e.Host, "sent", e.Sent, "refusals", e.Refusals,
 	}
 	if e.Route != nil {
-		args = append(args, "route", e.Route.Name, "kind", e.Route.Kind.String(), "rank", e.Route.Rank)
+		args = append(args, "route", e.Route.Name, "kind", e.Route.Kind.String(), "rank", e.Rank)
 	}
 	if event == eventCallError {
 		args = append(args, "reason", e.Reason, "fate", e.Result.Fate.String(), "nested", e.Nested,
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -7,40 +7,33 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"geraniumnotch.example/geraniumnotch/boottime"
+	"geraniumnotch.example/geraniumnotch/freshness"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/routeplan"
 )
 
 const (
-	// watchWait is how long a watch waits in the store. A connection that went
-	// silent is found by keep-alive probes before.
-	watchWait = 20 * time.Second
-	// watchSlack is how much longer an answer to a watch may take.
-	watchSlack = 2 * time.Second
-	// callTimeout bounds other calls to the store, which answers in milliseconds
-	// when it is well and in a quarter of a second when it is slow.
-	callTimeout = 1500 * time.Millisecond
-	// gatherShare is the part of the time for a new plan for which further
-	// versions are gathered before the next watch. It bounds the calls during a
-	// quick succession of versions.
-	gatherShare = 0.2
-	// storePauseLeast and storePauseMost bound the pause after a failed call.
-	storePauseLeast = 100 * time.Millisecond
-	storePauseMost  = 800 * time.Millisecond
+	// callTimeout bounds a call to the store, which answers in milliseconds when
+	// it is well and in a quarter of a second when it is slow.
+	callTimeout = time.Second
+	// planTick is how often the host looks whether a read is due.
+	planTick = 50 * time.Millisecond
 )
 
-// planKeeper puts the operator's versions in force: from its own watch of the
-// store, and from peers when that stays behind.
+// planKeeper puts the operator's versions in force, from its own reads of the
+// store and from peers. Package freshness says when which of them is due.
 type planKeeper struct {
 	store   *platform.Store
 	current *routeplan.Current
 	logger  hclog.Logger
-	gather  time.Duration
-	changed func(*routeplan.Plan)
+	fresh   *freshness.Tracker
+	rank    func() (all, mates int)
+	ask     func(mesh.HostID) error
+	changed func()
 
 	// mu keeps the encoded form in step with the plan in force.
 	mu      sync.Mutex
@@ -90,7 +83,8 @@
 		before = old.Version
 	}
 	eventPlan.Log(k.logger, "source", source, "version", plan.Version, "before", before, "routes", len(plan.Routes))
-	k.changed(plan)
+	k.fresh.InForce(plan.Version)
+	k.changed()
 }
 
 // offerFromPeer takes an encoded plan of a peer.
@@ -111,63 +105,36 @@
 	return nil
 }
 
-// run follows the store until ctx ends.
+// run keeps the plan current until ctx ends.
 func (k *planKeeper) run(ctx context.Context) {
-	revision := uint64(0)
-	pause := storePauseLeast
-	for ctx.Err() == nil {
-		var err error
-		if revision == 0 {
-			revision, err = k.read(ctx)
-		} else {
-			revision, err = k.watch(ctx, revision)
+	for sleep(ctx, planTick) {
+		all, mates := k.rank()
+		switch action, host := k.fresh.Next(boottime.Now(), all, mates); action {
+		case freshness.ReadStore:
+			k.read(ctx)
+		case freshness.AskPeer:
+			if err := k.ask(host); err != nil {
+				k.fresh.Failed(boottime.Now())
+			}
+		case freshness.Wait:
 		}
-		k.health.observe(err)
-		if err == nil {
-			pause = storePauseLeast
-			continue
-		}
-		if !sleep(ctx, jittered(pause)) {
-			return
-		}
-		pause = min(2*pause, storePauseMost)
 	}
 }
 
-// read fetches the newest plan and returns the revision to watch from.
-func (k *planKeeper) read(ctx context.Context) (uint64, error) {
+// read fetches the newest plan.
+func (k *planKeeper) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	item, revision, err := k.store.Get(ctx, platform.ConfigKey)
+	began := boottime.Now()
+	item, _, err := k.store.Get(ctx, platform.ConfigKey)
+	k.health.observe(err)
 	if err != nil {
-		return 0, err
+		k.fresh.Failed(boottime.Now())
+		return
 	}
 	k.offer(item.Value, "store")
-	return revision, nil
-}
-
-// watch waits for the next versions and returns the revision to continue from.
-func (k *planKeeper) watch(ctx context.Context, revision uint64) (uint64, error) {
-	watchCtx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-	defer cancel()
-	items, next, err := k.store.Watch(watchCtx, platform.ConfigPrefix, revision, watchWait)
-	if errors.Is(err, platform.ErrStoreHistory) {
-		return 0, nil
-	}
-	if err != nil {
-		return revision, err
-	}
-	found := false
-	for _, item := range items {
-		if item.Key == platform.ConfigKey && !item.Removed {
-			k.offer(item.Value, "store")
-			found = true
-		}
-	}
-	if found {
-		sleep(ctx, k.gather)
-	}
-	return max(revision, next), nil
+	k.fresh.Read(began)
+	k.changed()
 }
 
 // sleep waits and reports false when ctx ended first.
--- a/hostnode/settings.go
+++ b/hostnode/settings.go
@@ -17,7 +17,6 @@
 // Settings of a node beside an endpoint on the platform.
 type Settings struct {
 	Host          mesh.HostID
-	IP            netip.Addr
 	FailureDomain mesh.FailureDomain
 	Endpoint      hosted.Identity
 	MemoryMB      int
@@ -65,7 +64,6 @@
 	}
 	s := &Settings{
 		Host:          mesh.HostID(p.text("host", "name")),
-		IP:            p.ip("host", "ip"),
 		FailureDomain: mesh.FailureDomain(p.text("host", "failure-domain")),
 		MemoryMB:      p.number("host", "memory-mb", 16, 1<<20),
 		Listen: Listen{
@@ -114,14 +112,6 @@
 	return text
 }
 
-func (p *settingsParser) ip(section, key string) netip.Addr {
-	ip, err := netip.ParseAddr(p.values[section+"."+key].Text)
-	if err != nil {
-		p.fail(section, key, "an IP address")
-	}
-	return ip
-}
-
 func (p *settingsParser) address(section, key string) string {
 	text := p.values[section+"."+key].Text
 	if _, err := netip.ParseAddrPort(text); err != nil {
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -37,9 +37,6 @@
 	forgetAfter = 90 * time.Second
 	// linkQueue is the number of frames that may wait on a link.
 	linkQueue = 512
-	// planLag is how long a host waits for its own watch before it asks a peer
-	// for a newer plan.
-	planLag = 250 * time.Millisecond
 )
 
 var (
@@ -63,6 +60,9 @@
 	Plan func() []byte
 	// OfferPlan is called with an encoded plan of a peer.
 	OfferPlan func(value []byte, from mesh.HostID)
+	// HeardPlan is called with the version that a peer reports and how long ago
+	// it was known to be the newest.
+	HeardPlan func(from mesh.HostID, sameDomain bool, version uint64, age time.Duration)
 }
 
 // Peer is another host. Its atomics are read by each placement.
@@ -81,8 +81,6 @@
 	nextTry time.Time
 	pause   time.Duration
 	dialing bool
-	// behindSince is when the peer first reported a newer plan.
-	behindSince time.Time
 }
 
 // Directory holds all hosts. It is safe for concurrent use.
@@ -347,7 +345,7 @@
 		d.rebuild()
 		d.logNews(&s)
 	}
-	d.comparePlan(l, p, s.PlanVersion)
+	d.config.HeardPlan(p.record.Host, p.record.FailureDomain == d.config.Self.FailureDomain, s.PlanVersion, s.PlanAge)
 }
 
 func (d *Directory) logNews(s *Status) {
@@ -366,19 +364,29 @@
 	return a.Endpoint == nil || (a.Endpoint.ID == b.Endpoint.ID && a.Endpoint.Service == b.Endpoint.Service)
 }
 
-// comparePlan asks the peer for its plan when the own watch stays behind.
-func (d *Directory) comparePlan(l *transport.Link, p *Peer, version uint64) {
-	own := d.config.Report().PlanVersion
-	now := time.Now()
-	switch {
-	case version <= own:
-		p.behindSince = time.Time{}
-	case p.behindSince.IsZero() && own > 0:
-		p.behindSince = now
-	case own == 0 || now.Sub(p.behindSince) > planLag:
-		p.behindSince = now
-		_ = l.Send(transport.KindPlanRequest, planRequest{After: own}) // Asked again after the next report.
+// AskPlan asks a peer for its plan.
+func (d *Directory) AskPlan(host mesh.HostID) error {
+	l := d.manager.Link(host)
+	if l == nil {
+		return transport.ErrNoLink
+	}
+	return l.Send(transport.KindPlanRequest, planRequest{})
+}
+
+// Rank returns the number of reachable hosts with a lower ID than this one, in
+// all and in its failure domain.
+func (d *Directory) Rank() (all, mates int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, p := range d.peers {
+		if id < d.config.Self.Host && p.mux.Load() != nil {
+			all++
+			if p.record.FailureDomain == d.config.Self.FailureDomain {
+				mates++
+			}
+		}
 	}
+	return all, mates
 }
 
 // rebuild makes the index of endpoints. The lock is held.
--- a/peers/types.go
+++ b/peers/types.go
@@ -50,15 +50,17 @@
 type Status struct {
 	Record      Record `cbor:"1,keyasint"`
 	PlanVersion uint64 `cbor:"2,keyasint,omitempty"`
+	// PlanAge is how long ago the version was known to be the newest.
+	PlanAge time.Duration `cbor:"5,keyasint,omitempty"`
 	// Leaving is set once the host's process has begun to stop.
 	Leaving bool `cbor:"3,keyasint,omitempty"`
 	// Endpoint is nil while the host has none that takes calls.
 	Endpoint *EndpointStatus `cbor:"4,keyasint,omitempty"`
 }
 
+// planRequest asks for the plan in force.
 type planRequest struct {
-	_     struct{} `cbor:",toarray"`
-	After uint64
+	_ struct{} `cbor:",toarray"`
 }
 
 type planValue struct {
