Host records with a reused address are forgotten

Change: a later record supersedes others at its address; reports of replaced links are ignored; no dial beside a live link.

--- a/peers/directory.go
+++ b/peers/directory.go
@@ -179,6 +179,9 @@
 	if p != nil && p.record.Incarnation >= r.Incarnation {
 		return p
 	}
+	if d.superseded(r) {
+		return nil
+	}
 	now := time.Now()
 	if p == nil {
 		p = &Peer{learned: now, lastUp: now, pause: redialLeast}
@@ -193,6 +196,26 @@
 	return p
 }
 
+// superseded reports whether a later host has the address of the record. Records
+// that the new one supersedes are forgotten; a dial of them would reach the new
+// host and replace the link to it.
+func (d *Directory) superseded(r Record) bool {
+	if r.Address == d.config.Self.Address {
+		return true
+	}
+	for id, p := range d.peers {
+		if id == r.Host || p.record.Address != r.Address {
+			continue
+		}
+		if p.record.Incarnation > r.Incarnation {
+			return true
+		}
+		delete(d.peers, id)
+		eventPeerGone.Log(d.config.Logger, "host", id, "address_of", r.Host)
+	}
+	return false
+}
+
 func (d *Directory) status() Status {
 	s := d.config.Report()
 	s.Record = d.config.Self
@@ -236,7 +259,7 @@
 			eventPeerGone.Log(d.config.Logger, "host", id)
 			continue
 		}
-		if p.dialing || now.Before(p.nextTry) {
+		if p.dialing || now.Before(p.nextTry) || d.manager.Link(id) != nil {
 			continue
 		}
 		p.dialing = true
@@ -330,7 +353,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.learn(s.Record)
-	if p == nil || s.Record.Host != l.Peer() || s.Record.Incarnation < p.record.Incarnation {
+	if p == nil || s.Record.Host != l.Peer() || s.Record.Incarnation < p.record.Incarnation || d.manager.Link(l.Peer()) != l {
+		// A report of a link that another one has replaced must not bring its
+		// calls back into use.
 		return
 	}
 	p.lastUp = time.Now()
