--- a/entrance/ages.go
+++ b/entrance/ages.go
@@ -12,17 +12,11 @@
 const agesWindow = 10 * time.Second
 
 // ages derives how long ago a client first asked. Clients state only the time
-// that they still wait; the longest wait among calls of the same kind and rank
-// is taken for that of a first attempt. It is safe for concurrent use.
+// that they still wait; the longest wait among calls of the same route is taken
+// for that of a first attempt. It is safe for concurrent use.
 type ages struct {
 	mu   sync.Mutex
-	most map[ageGroup]longest
-}
-
-type ageGroup struct {
-	kind   routeplan.Kind
-	rank   uint8
-	target time.Duration
+	most map[string]longest
 }
 
 type longest struct {
@@ -35,20 +29,34 @@
 
 // Observe returns the age of a call that waits for the given time.
 func (a *ages) Observe(r *routeplan.Route, wait time.Duration, now boottime.Time) time.Duration {
-	group := ageGroup{r.Kind, r.Rank, r.Target}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.most == nil {
-		a.most = map[ageGroup]longest{}
+		a.most = map[string]longest{}
 	}
-	m := a.most[group]
+	m := a.most[r.Name]
 	if now-m.since > agesWindow {
 		m = longest{previous: m.wait, since: now}
 	}
 	m.wait = max(m.wait, wait)
-	a.most[group] = m
+	a.most[r.Name] = m
 	if age := max(m.wait, m.previous) - wait; age >= minAge {
 		return age
 	}
 	return 0
 }
+
+// Keep forgets routes that the plan lacks.
+func (a *ages) Keep(p *routeplan.Plan) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	names := make(map[string]bool, len(p.Routes))
+	for i := range p.Routes {
+		names[p.Routes[i].Name] = true
+	}
+	for name := range a.most {
+		if !names[name] {
+			delete(a.most, name)
+		}
+	}
+}
--- a/entrance/exchange.go
+++ b/entrance/exchange.go
@@ -60,7 +60,7 @@
 	switch {
 	case x.closing:
 		_ = c.net.SetReadDeadline(time.Now()) // Ends the reading of requests.
-	case last && !c.reading.Load():
+	case last && c.state.Load() == stateIdle:
 		_ = c.net.SetReadDeadline(time.Now().Add(time.Duration(c.idle.Load())))
 	}
 }
@@ -90,6 +90,11 @@
 		return !x.closing
 	}
 	cl := x.call(request)
+	if !x.Nested && x.c.server.refuses(cl.Left) {
+		x.closing = true
+		x.fail(http.StatusServiceUnavailable, "node_stopping", stoppingRetry)
+		return false
+	}
 	if x.closing {
 		// What the client sends after its last request is not read.
 		c.finished.Store(true)
@@ -100,6 +105,10 @@
 	return x.startBody(cl, request, limits.BodyBytes)
 }
 
+// stoppingRetry is when a client that a stopping node refused is told to return.
+// Other nodes of its failure domain take its calls by then.
+const stoppingRetry = 50 * time.Millisecond
+
 type routeFailure struct {
 	status     int
 	reason     string
--- a/entrance/server.go
+++ b/entrance/server.go
@@ -84,9 +84,12 @@
 	ages     ages
 
 	draining atomic.Bool
-	active   atomic.Int64
-	mu       sync.Mutex
-	conns    map[*connection]struct{}
+	// closing is the boot time from which only calls that end before until are
+	// taken; 0 while the server takes all.
+	closing, until atomic.Int64
+	active         atomic.Int64
+	mu             sync.Mutex
+	conns          map[*connection]struct{}
 }
 
 // New returns a server without connections.
@@ -114,8 +117,29 @@
 // descriptors.
 const acceptPause = 10 * time.Millisecond
 
-// Drain makes each further answer the last one of its connection.
-func (s *Server) Drain() { s.draining.Store(true) }
+// Drain makes each further answer the last one of its connection. From the time
+// closing, calls of clients that may last beyond the time until are refused.
+func (s *Server) Drain(closing, until boottime.Time) {
+	s.until.Store(int64(until))
+	s.closing.Store(int64(closing))
+	s.draining.Store(true)
+}
+
+// refuses reports whether a call comes too late to be answered before the server
+// ends.
+func (s *Server) refuses(left time.Duration) bool {
+	if !s.draining.Load() {
+		return false
+	}
+	now := s.config.Clock()
+	return int64(now) >= s.closing.Load() && int64(now+left) > s.until.Load()
+}
+
+// PlanChanged forgets what belongs to routes that the plan lacks.
+func (s *Server) PlanChanged(p *routeplan.Plan) {
+	s.splitter.Keep(p)
+	s.ages.Keep(p)
+}
 
 // Active returns the number of requests that are not answered yet.
 func (s *Server) Active() int { return int(s.active.Load()) }
@@ -125,7 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.pending.Load() == 0 && !c.reading.Load() {
+		if c.pending.Load() == 0 && c.state.CompareAndSwap(stateIdle, stateClosed) {
 			_ = c.net.Close()
 		}
 	}
@@ -140,8 +164,8 @@
 	ctx    context.Context
 	// pending counts the requests that are not answered yet.
 	pending atomic.Int64
-	// reading is set while a part of a request has arrived.
-	reading atomic.Bool
+	// state keeps a request that is being read from being lost to CloseIdle.
+	state atomic.Int32
 	// finished is closed once the connection takes no further request.
 	finished atomic.Bool
 	// tail is closed when the latest request has been answered.
@@ -149,6 +173,16 @@
 	idle atomic.Int64
 }
 
+// States of a connection between two requests.
+const (
+	// stateIdle means that nothing of a next request has been read.
+	stateIdle int32 = iota
+	// stateReading means that a request is being read.
+	stateReading
+	// stateClosed means that no further request is read.
+	stateClosed
+)
+
 // headLimit bounds the bytes read for the head of a request.
 type headLimit struct {
 	net.Conn
@@ -223,10 +257,9 @@
 		limits := c.limits()
 		c.idle.Store(int64(limits.IdleTimeout))
 		c.armIdle()
-		if !c.awaitByte(limits) {
+		if !c.awaitByte(limits) || !c.state.CompareAndSwap(stateIdle, stateReading) {
 			return
 		}
-		c.reading.Store(true)
 		started := c.server.config.Clock()
 		c.limit.left = limits.HeaderBytes
 		_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // An error shows in the next read.
@@ -239,7 +272,7 @@
 		if !c.take(request, started) {
 			return
 		}
-		c.reading.Store(false)
+		c.state.Store(stateIdle)
 	}
 }
 
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -87,10 +87,11 @@
 	n.settings.Store(s)
 	n.keeper = &planKeeper{
 		store: n.store, current: &n.plan, logger: logger, fresh: freshness.New(s.PlanDeadline),
-		rank:    func() (int, int) { return n.directory.Rank() },
-		ask:     func(host mesh.HostID) error { return n.directory.AskPlan(host) },
-		changed: func() { n.directory.Changed() },
-		health:  dependency{logger: logger, name: "plan"},
+		rank:     func() (int, int) { return n.directory.Rank() },
+		ask:      func(host mesh.HostID) error { return n.directory.AskPlan(host) },
+		accepted: func(p *routeplan.Plan) { n.entry.PlanChanged(p) },
+		changed:  func() { n.directory.Changed() },
+		health:   dependency{logger: logger, name: "plan"},
 	}
 	n.registration = hosted.NewRegistration(s.Endpoint, boottime.Now, func(*hosted.Endpoint) { n.directory.Changed() })
 	gate := hosted.NewGate(n.registration, platform.Headers{}, boottime.Now, watch)
@@ -237,10 +238,10 @@
 func (n *Node) Stop() {
 	begun := time.Now()
 	n.stopping.Store(true)
-	n.entry.Drain()
+	limit := n.settings.Load().Drain - drainReserve
+	n.entry.Drain(boottime.Now()+noticeTime, boottime.Now()+limit)
 	n.directory.Changed()
 	eventStopping.Log(n.logger, "calls", n.entry.Active())
-	limit := n.settings.Load().Drain - drainReserve
 	for time.Since(begun) < limit {
 		if time.Since(begun) > noticeTime {
 			n.entry.CloseIdle()
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -33,7 +33,10 @@
 	fresh   *freshness.Tracker
 	rank    func() (all, mates int)
 	ask     func(mesh.HostID) error
-	changed func()
+	// accepted is called with each plan that came in force, changed after that
+	// and after each read that confirmed it.
+	accepted func(*routeplan.Plan)
+	changed  func()
 
 	// mu keeps the encoded form in step with the plan in force.
 	mu      sync.Mutex
@@ -69,12 +72,12 @@
 	}
 	k.mu.Lock()
 	old := k.current.Load()
-	accepted := k.current.Offer(plan)
-	if accepted {
+	newer := k.current.Offer(plan)
+	if newer {
 		k.encoded.Store(&value)
 	}
 	k.mu.Unlock()
-	if !accepted {
+	if !newer {
 		eventPlanOld.Log(k.logger, "source", source, "version", plan.Version)
 		return
 	}
@@ -84,6 +87,7 @@
 	}
 	eventPlan.Log(k.logger, "source", source, "version", plan.Version, "before", before, "routes", len(plan.Routes))
 	k.fresh.InForce(plan.Version)
+	k.accepted(plan)
 	k.changed()
 }
 
