Ages of calls from the spread of first attempts; wider margins for targets

Cause: clients state waits that differ by 15 % on first attempts, which were taken for returning ones; endpoints whose mean run time nearly fills the target were preferred for being near. Change: ages are taken against waits seen while nothing is refused; 1.7 mean run times must fit into the target for an endpoint of the own domain to be preferred (2.0 was tried as well).

--- a/entrance/exchange.go
+++ b/entrance/exchange.go
@@ -296,6 +296,7 @@
 	case call.Answered:
 		x.answer(r.Answer)
 	case call.Refused:
+		x.c.server.ages.Refused(x.c.server.config.Clock())
 		x.fail(http.StatusServiceUnavailable, r.Reason, r.RetryAfter)
 	case call.Expired:
 		if ctx.Err() != nil {
--- a/hostnode/observe.go
+++ b/hostnode/observe.go
@@ -69,14 +69,13 @@
 	}
 	args := []any{
 		"id", e.ID, "status", e.Status, "took_ms", e.Took.Milliseconds(), "plan", e.Plan, "service", e.Service,
-		"host", e.Host, "sent", e.Sent, "refusals", e.Refusals,
+		"host", e.Host, "sent", e.Sent, "refusals", e.Refusals, "wait_ms", e.Wait.Milliseconds(), "age_ms", e.Age.Milliseconds(),
 	}
 	if e.Route != nil {
 		args = append(args, "route", e.Route.Name, "kind", e.Route.Kind.String(), "rank", e.Rank)
 	}
 	if event == eventCallError {
-		args = append(args, "reason", e.Reason, "fate", e.Result.Fate.String(), "nested", e.Nested,
-			"wait_ms", e.Wait.Milliseconds(), "age_ms", e.Age.Milliseconds(), "retry_after_ms", e.Result.RetryAfter.Milliseconds())
+		args = append(args, "reason", e.Reason, "fate", e.Result.Fate.String(), "nested", e.Nested, "retry_after_ms", e.Result.RetryAfter.Milliseconds())
 	}
 	event.Log(o.logger, args...)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,7 +29,7 @@
 	jitter = 0.15
 	// targetMargin is how many mean run times must fit into what is left of the
 	// target for an endpoint to be preferred.
-	targetMargin = 1.4
+	targetMargin = 1.7
 	// defaultRun stands for a mean run time that is not known yet.
 	defaultRun = 50 * time.Millisecond
 	// coldFactor is the slowness of an endpoint that has just started.
--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -23,6 +23,9 @@
 	// leastRun is the part of the mean run time that a call needs at least. Run
 	// times spread by about a third around the mean on the users' services.
 	leastRun = 0.6
+	// targetMargin is the part of its mean run time that a call needs within its
+	// target to be taken for one that meets it. Run times spread around the mean.
+	targetMargin = 1.25
 	// lateShare bounds the calls that wait past their target, in parts of the
 	// slots, so that they cannot hold the callers of a long queue.
 	lateShare = 0.5
@@ -170,7 +173,7 @@
 		}
 		return nil
 	}
-	if start+run > t.work.TargetBy {
+	if start+time.Duration(targetMargin*float64(run)) > t.work.TargetBy {
 		return q.full(t, now)
 	}
 	return nil
