Plans travel between hosts as differences; tests of the decisions

A test showed that calls with equal targets were not counted as ahead of a new one in the gate's queue. Change: routeplan.Delta; the reading host compares revisions by an empty transaction; reports carry the host record once; tickets are numbered.

--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -28,19 +28,14 @@
 	// rankShare delays the take-over of each further host, so that they do not
 	// all take over together.
 	rankShare = 0.015
-	// mateShare is how long each host of a failure domain leaves the fetching of a
-	// version to the hosts of its domain with a lower rank.
-	mateShare = 0.075
-	// askShare is how long an answer of a peer may take before it is asked again
-	// or the store is read instead.
-	askShare = 0.15
+	// startShare is how often the reading host reads while no plan is known.
+	startShare = 0.1
+	// askShare is how long an answer of a peer may take before the store is read
+	// instead.
+	askShare = 0.2
 )
 
 const (
-	// startPauseLeast and startPauseMost bound the pause between reads while no
-	// plan is known.
-	startPauseLeast = 100 * time.Millisecond
-	startPauseMost  = 400 * time.Millisecond
 	// failurePauseLeast and failurePauseMost bound the pause after failed reads.
 	failurePauseLeast = 150 * time.Millisecond
 	failurePauseMost  = 1200 * time.Millisecond
@@ -70,14 +65,12 @@
 	// newest.
 	confirmed boottime.Time
 	// wanted is the newest version heard of, from the host source.
-	wanted      uint64
-	wantedSince boottime.Time
-	source      mesh.HostID
-	sourceMate  bool
-	askedAt     boottime.Time
-	asked       bool
-	notBefore   boottime.Time
-	failures    int
+	wanted    uint64
+	source    mesh.HostID
+	asked     bool
+	askedAt   boottime.Time
+	notBefore boottime.Time
+	failures  int
 }
 
 // New returns a tracker without a plan. Deadline is the time within which a new
@@ -116,29 +109,28 @@
 func (t *Tracker) Failed(now boottime.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	least, most := failurePauseLeast, failurePauseMost
-	if t.version == 0 {
-		least, most = startPauseLeast, startPauseMost
-	}
-	t.notBefore = now + min(least<<min(t.failures, 8), most)
+	t.notBefore = now + min(failurePauseLeast<<min(t.failures, 8), failurePauseMost)
 	t.failures++
 }
 
+// Absent notes a read of the store that showed that there is no plan yet.
+func (t *Tracker) Absent(now boottime.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirmed = max(t.confirmed, now)
+	t.failures = max(t.failures, 1)
+}
+
 // Heard notes the report of a peer: its version, and how long ago that was known
-// to be the newest. Mate is set for peers of the same failure domain.
-func (t *Tracker) Heard(from mesh.HostID, mate bool, version uint64, age time.Duration, now boottime.Time) {
+// to be the newest.
+func (t *Tracker) Heard(from mesh.HostID, version uint64, age time.Duration, now boottime.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
 	case version == t.version && version != 0:
 		t.confirmed = max(t.confirmed, now-age)
-	case version > t.version:
-		if t.wanted <= t.version {
-			t.wantedSince = now
-		}
-		if version > t.wanted || (mate && !t.sourceMate && version == t.wanted) {
-			t.wanted, t.source, t.sourceMate = version, from, mate
-		}
+	case version > t.version && version > t.wanted:
+		t.wanted, t.source = version, from
 	}
 }
 
@@ -150,53 +142,44 @@
 }
 
 // Next returns what is due. Rank is the number of reachable hosts that come
-// before this one, mates that of its failure domain.
-func (t *Tracker) Next(now boottime.Time, rank, mates int) (Action, mesh.HostID) {
+// before this one.
+func (t *Tracker) Next(now boottime.Time, rank int) (Action, mesh.HostID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.wanted > t.version && t.version > 0 {
-		return t.fetch(now, mates)
+	if t.confirmed == 0 {
+		// Links to hosts that have a plan come up first.
+		t.confirmed = now
 	}
-	if now < t.notBefore {
-		if t.wanted > t.version && t.failures > 2 {
-			return t.ask(now)
+	if t.wanted > t.version {
+		if !t.asked {
+			t.asked, t.askedAt = true, now
+			return AskPeer, t.source
 		}
-		return Wait, ""
-	}
-	if t.version == 0 {
-		return ReadStore, ""
-	}
-	due := t.part(readShare)
-	if rank > 0 {
-		due = t.part(takeOverShare) + time.Duration(rank)*t.part(rankShare)
-	}
-	if now-t.confirmed >= due {
-		return ReadStore, ""
-	}
-	return Wait, ""
-}
-
-// fetch gets a version that a peer has: from a host of the same failure domain,
-// or else from the store, where it costs no bytes between domains.
-func (t *Tracker) fetch(now boottime.Time, mates int) (Action, mesh.HostID) {
-	if t.sourceMate || t.failures > 0 {
-		if action, host := t.ask(now); action != Wait {
-			return action, host
+		if now-t.askedAt < t.part(askShare) {
+			return Wait, ""
+		}
+		// The next peer that reports a newer version is asked as well.
+		t.asked, t.wanted = false, 0
+		if now >= t.notBefore {
+			return ReadStore, ""
 		}
 	}
-	if t.asked && now-t.askedAt < t.part(askShare) || now < t.notBefore {
+	if now < t.notBefore {
 		return Wait, ""
 	}
-	if now-t.wantedSince >= time.Duration(mates)*t.part(mateShare) {
+	if now-t.confirmed >= t.due(rank) {
 		return ReadStore, ""
 	}
 	return Wait, ""
 }
 
-func (t *Tracker) ask(now boottime.Time) (Action, mesh.HostID) {
-	if t.asked && now-t.askedAt < 2*t.part(askShare) {
-		return Wait, ""
+// due is the age of the latest known read from which this host reads.
+func (t *Tracker) due(rank int) time.Duration {
+	switch {
+	case rank == 0 && t.version == 0:
+		return t.part(startShare)
+	case rank == 0:
+		return t.part(readShare)
 	}
-	t.asked, t.askedAt = true, now
-	return AskPeer, t.source
+	return t.part(takeOverShare) + time.Duration(rank)*t.part(rankShare)
 }
--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -18,6 +18,7 @@
 	eventPlan       = events.Define(2510, hclog.Info, "plan in force", "None.")
 	eventPlanOld    = events.Define(2511, hclog.Debug, "older plan ignored", "None; a stale or late read.")
 	eventPlanBad    = events.Define(2512, hclog.Error, "plan rejected", "The former plan stays in force; correct the configuration.")
+	eventPlanAsk    = events.Define(2517, hclog.Info, "peer cannot be asked for its plan", "None; the store is read instead.")
 	eventStoreLost  = events.Define(2513, hclog.Warn, "store does not answer", "The node goes on with the plan and the hosts that it knows; look at the store.")
 	eventStoreBack  = events.Define(2514, hclog.Info, "store answers again", "None.")
 	eventRecordBad  = events.Define(2515, hclog.Warn, "malformed host record in the store", "Remove the key, or compare the versions of the programs.")
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -87,8 +87,8 @@
 	n.settings.Store(s)
 	n.keeper = &planKeeper{
 		store: n.store, current: &n.plan, logger: logger, fresh: freshness.New(s.PlanDeadline),
-		rank:     func() (int, int) { return n.directory.Rank() },
-		ask:      func(host mesh.HostID) error { return n.directory.AskPlan(host) },
+		rank:     func() int { return n.directory.Rank() },
+		ask:      func(host mesh.HostID, have uint64) error { return n.directory.AskPlan(host, have) },
 		accepted: func(p *routeplan.Plan) { n.entry.PlanChanged(p) },
 		changed:  func() { n.directory.Changed() },
 		health:   dependency{logger: logger, name: "plan"},
@@ -98,9 +98,9 @@
 	record := peers.Record{Host: s.Host, Address: s.Listen.Peers, FailureDomain: s.FailureDomain, Incarnation: n.started.UnixNano()}
 	n.directory = peers.New(peers.Config{
 		Self: record, Logger: logger, Clock: boottime.Now, Local: gate,
-		Report: n.report, Plan: n.keeper.plan, OfferPlan: n.keeper.offerFromPeer,
-		HeardPlan: func(from mesh.HostID, sameDomain bool, version uint64, age time.Duration) {
-			n.keeper.fresh.Heard(from, sameDomain, version, age, boottime.Now())
+		Report: n.report, Plan: n.keeper.difference, OfferPlan: n.keeper.offerFromPeer,
+		HeardPlan: func(from mesh.HostID, version uint64, age time.Duration) {
+			n.keeper.fresh.Heard(from, version, age, boottime.Now())
 		},
 	})
 	n.registrar = &registrar{
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -31,16 +31,18 @@
 	current *routeplan.Current
 	logger  hclog.Logger
 	fresh   *freshness.Tracker
-	rank    func() (all, mates int)
-	ask     func(mesh.HostID) error
+	rank    func() int
+	ask     func(host mesh.HostID, have uint64) error
 	// accepted is called with each plan that came in force, changed after that
 	// and after each read that confirmed it.
 	accepted func(*routeplan.Plan)
 	changed  func()
 
-	// mu keeps the encoded form in step with the plan in force.
-	mu      sync.Mutex
-	encoded atomic.Pointer[[]byte]
+	mu sync.Mutex
+	// revision is the store's revision of the plan that was read last.
+	revision uint64
+	// recent are the latest plans in force, for differences.
+	recent []*routeplan.Plan
 
 	health dependency
 }
@@ -63,18 +65,41 @@
 	}
 }
 
-// offer takes an encoded plan.
-func (k *planKeeper) offer(value []byte, source string) {
-	plan, err := platform.DecodeConfig(value)
+// offerItem takes the operator's configuration as the store holds it.
+func (k *planKeeper) offerItem(item platform.Item) {
+	plan, err := platform.DecodeConfig(item.Value)
 	if err != nil {
-		eventPlanBad.Log(k.logger, "source", source, "bytes", len(value), "error", err)
+		eventPlanBad.Log(k.logger, "source", "store", "bytes", len(item.Value), "error", err)
 		return
 	}
+	k.offer(plan, "store")
+}
+
+// offerFromPeer takes the plan of a peer.
+func (k *planKeeper) offerFromPeer(d routeplan.Delta, from mesh.HostID) {
+	plan, err := d.Apply(k.current.Load())
+	if err != nil {
+		// The plan in force has changed since the peer was asked, or the peer runs
+		// another program; the next report leads to another attempt.
+		eventPlanBad.Log(k.logger, "source", from, "base", d.Base, "version", d.Version, "error", err)
+		return
+	}
+	k.offer(plan, string(from))
+}
+
+// recentPlans is the number of versions to which differences can be given. More
+// come only while versions follow each other faster than reports.
+const recentPlans = 4
+
+func (k *planKeeper) offer(plan *routeplan.Plan, source string) {
 	k.mu.Lock()
 	old := k.current.Load()
 	newer := k.current.Offer(plan)
 	if newer {
-		k.encoded.Store(&value)
+		k.recent = append(k.recent, plan)
+		if len(k.recent) > recentPlans {
+			k.recent = append([]*routeplan.Plan(nil), k.recent[1:]...)
+		}
 	}
 	k.mu.Unlock()
 	if !newer {
@@ -88,11 +113,25 @@
 	eventPlan.Log(k.logger, "source", source, "version", plan.Version, "before", before, "routes", len(plan.Routes))
 	k.fresh.InForce(plan.Version)
 	k.accepted(plan)
-	k.changed()
 }
 
-// offerFromPeer takes an encoded plan of a peer.
-func (k *planKeeper) offerFromPeer(value []byte, from mesh.HostID) { k.offer(value, string(from)) }
+// difference returns the plan in force as a difference to a version, or whole
+// when that version is not known any more.
+func (k *planKeeper) difference(have uint64) (routeplan.Delta, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	plan := k.current.Load()
+	if plan == nil {
+		return routeplan.Delta{}, false
+	}
+	var base *routeplan.Plan
+	for _, p := range k.recent {
+		if p.Version == have {
+			base = p
+		}
+	}
+	return plan.Diff(base), true
+}
 
 func (k *planKeeper) version() uint64 {
 	if p := k.current.Load(); p != nil {
@@ -101,44 +140,43 @@
 	return 0
 }
 
-// plan returns the encoded plan in force, or nil.
-func (k *planKeeper) plan() []byte {
-	if v := k.encoded.Load(); v != nil {
-		return *v
-	}
-	return nil
-}
-
 // run keeps the plan current until ctx ends.
 func (k *planKeeper) run(ctx context.Context) {
 	for sleep(ctx, planTick) {
-		all, mates := k.rank()
-		switch action, host := k.fresh.Next(boottime.Now(), all, mates); action {
+		switch action, host := k.fresh.Next(boottime.Now(), k.rank()); action {
 		case freshness.ReadStore:
 			k.read(ctx)
 		case freshness.AskPeer:
-			if err := k.ask(host); err != nil {
-				k.fresh.Failed(boottime.Now())
+			if err := k.ask(host, k.version()); err != nil {
+				eventPlanAsk.Log(k.logger, "host", host, "error", err)
 			}
 		case freshness.Wait:
 		}
 	}
 }
 
-// read fetches the newest plan.
+// read fetches the newest plan if the store has another one than this host read
+// last.
 func (k *planKeeper) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	began := boottime.Now()
-	item, _, err := k.store.Get(ctx, platform.ConfigKey)
+	item, changed, err := k.store.Changed(ctx, platform.ConfigKey, k.revision)
 	k.health.observe(err)
-	if err != nil {
+	switch {
+	case err != nil:
 		k.fresh.Failed(boottime.Now())
-		return
+	case changed && item.Revision != 0:
+		k.revision = item.Revision
+		k.offerItem(item)
+		k.fresh.Read(began)
+		k.changed()
+	case k.revision == 0:
+		k.fresh.Absent(boottime.Now())
+	default:
+		k.fresh.Read(began)
+		k.changed()
 	}
-	k.offer(item.Value, "store")
-	k.fresh.Read(began)
-	k.changed()
 }
 
 // sleep waits and reports false when ctx ended first.
--- a/hostnode/registrar.go
+++ b/hostnode/registrar.go
@@ -18,15 +18,15 @@
 	hostsPrefix = "geraniumnotch/hosts/"
 	// leaseLifetime bounds how long the record of a dead host stays. Hosts notice
 	// a dead one by its link; the record only matters to hosts that start.
-	leaseLifetime = 15 * time.Second
+	leaseLifetime = 60 * time.Second
 	// renewInterval leaves time for two further attempts before the lease ends.
-	renewInterval = 5 * time.Second
+	renewInterval = 18 * time.Second
 	// renewRetry is the pause after a failed renewal. A host is registered again
 	// within two seconds of the store's return.
 	renewRetry = 1200 * time.Millisecond
 	// listEvery is the number of renewals between two reads of all hosts. They
 	// find hosts that started while this one could not be reached.
-	listEvery = 2
+	listEvery = 1
 )
 
 // registrar keeps the host's record in the store and reads those of others.
@@ -108,7 +108,7 @@
 func (r *registrar) list(ctx context.Context, stale bool) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	items, _, err := r.store.List(ctx, hostsPrefix, stale)
+	items, err := r.store.List(ctx, hostsPrefix, stale)
 	if err != nil {
 		return err
 	}
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -14,6 +14,7 @@
 	"geraniumnotch.example/geraniumnotch/events"
 	"geraniumnotch.example/geraniumnotch/hop"
 	"geraniumnotch.example/geraniumnotch/mesh"
+	"geraniumnotch.example/geraniumnotch/routeplan"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
 
@@ -36,7 +37,7 @@
 	// cannot read the store depend on being dialed by others.
 	forgetAfter = 90 * time.Second
 	// linkQueue is the number of frames that may wait on a link.
-	linkQueue = 512
+	linkQueue = 128
 )
 
 var (
@@ -56,13 +57,14 @@
 	Local call.Runner
 	// Report returns the host's own status without its record.
 	Report func() Status
-	// Plan returns the encoded plan in force, nil when there is none.
-	Plan func() []byte
-	// OfferPlan is called with an encoded plan of a peer.
-	OfferPlan func(value []byte, from mesh.HostID)
+	// Plan returns the plan in force as a difference to the version that a peer
+	// has, and false when there is none.
+	Plan func(have uint64) (routeplan.Delta, bool)
+	// OfferPlan is called with the plan of a peer.
+	OfferPlan func(plan routeplan.Delta, from mesh.HostID)
 	// HeardPlan is called with the version that a peer reports and how long ago
 	// it was known to be the newest.
-	HeardPlan func(from mesh.HostID, sameDomain bool, version uint64, age time.Duration)
+	HeardPlan func(from mesh.HostID, version uint64, age time.Duration)
 }
 
 // Peer is another host. Its atomics are read by each placement.
@@ -216,18 +218,12 @@
 	return false
 }
 
-func (d *Directory) status() Status {
-	s := d.config.Report()
-	s.Record = d.config.Self
-	return s
-}
-
 func (d *Directory) report() {
 	links := d.manager.Links()
 	if len(links) == 0 {
 		return
 	}
-	frame, err := transport.Encode(transport.KindHostStatus, d.status())
+	frame, err := transport.Encode(transport.KindHostStatus, d.config.Report())
 	if err != nil {
 		eventBadFrame.Log(d.config.Logger, "error", err)
 		return
@@ -289,7 +285,9 @@
 		p.lastUp = time.Now()
 	}
 	d.mu.Unlock()
-	_ = l.Send(transport.KindHostStatus, d.status()) // The queue of a new link is empty.
+	status := d.config.Report()
+	status.Record = &d.config.Self
+	_ = l.Send(transport.KindHostStatus, status) // The queue of a new link is empty.
 	eventPeerUp.Log(d.config.Logger, "host", l.Peer())
 }
 
@@ -335,15 +333,15 @@
 		if err := m.Decode(&r); err != nil {
 			return err
 		}
-		if value := d.config.Plan(); value != nil {
-			return l.Send(transport.KindPlanValue, planValue{Value: value})
+		if plan, known := d.config.Plan(r.Have); known {
+			return l.Send(transport.KindPlanValue, plan)
 		}
 	case transport.KindPlanValue:
-		var v planValue
-		if err := m.Decode(&v); err != nil {
+		var plan routeplan.Delta
+		if err := m.Decode(&plan); err != nil {
 			return err
 		}
-		d.config.OfferPlan(v.Value, l.Peer())
+		d.config.OfferPlan(plan, l.Peer())
 	}
 	return nil
 }
@@ -352,8 +350,11 @@
 func (d *Directory) accept(l *transport.Link, mux *hop.Mux, s Status) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.learn(s.Record)
-	if p == nil || s.Record.Host != l.Peer() || s.Record.Incarnation < p.record.Incarnation || d.manager.Link(l.Peer()) != l {
+	p := d.peers[l.Peer()]
+	if s.Record != nil && s.Record.Host == l.Peer() {
+		p = d.learn(*s.Record)
+	}
+	if p == nil || d.manager.Link(l.Peer()) != l {
 		// A report of a link that another one has replaced must not bring its
 		// calls back into use.
 		return
@@ -368,13 +369,13 @@
 	}
 	if old == nil || !sameUse(old, &s) {
 		d.rebuild()
-		d.logNews(&s)
+		d.logNews(p, &s)
 	}
-	d.config.HeardPlan(p.record.Host, p.record.FailureDomain == d.config.Self.FailureDomain, s.PlanVersion, s.PlanAge)
+	d.config.HeardPlan(p.record.Host, s.PlanVersion, s.PlanAge)
 }
 
-func (d *Directory) logNews(s *Status) {
-	args := []any{"host", s.Record.Host, "leaving", s.Leaving, "plan", s.PlanVersion}
+func (d *Directory) logNews(p *Peer, s *Status) {
+	args := []any{"host", p.record.Host, "leaving", s.Leaving, "plan", s.PlanVersion}
 	if e := s.Endpoint; e != nil {
 		args = append(args, "endpoint", e.ID, "service", e.Service, "slots", e.Slots)
 	}
@@ -389,29 +390,26 @@
 	return a.Endpoint == nil || (a.Endpoint.ID == b.Endpoint.ID && a.Endpoint.Service == b.Endpoint.Service)
 }
 
-// AskPlan asks a peer for its plan.
-func (d *Directory) AskPlan(host mesh.HostID) error {
+// AskPlan asks a peer for its plan, as a difference to the version have.
+func (d *Directory) AskPlan(host mesh.HostID, have uint64) error {
 	l := d.manager.Link(host)
 	if l == nil {
 		return transport.ErrNoLink
 	}
-	return l.Send(transport.KindPlanRequest, planRequest{})
+	return l.Send(transport.KindPlanRequest, planRequest{Have: have})
 }
 
-// Rank returns the number of reachable hosts with a lower ID than this one, in
-// all and in its failure domain.
-func (d *Directory) Rank() (all, mates int) {
+// Rank returns the number of reachable hosts with a lower ID than this one.
+func (d *Directory) Rank() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	rank := 0
 	for id, p := range d.peers {
 		if id < d.config.Self.Host && p.mux.Load() != nil {
-			all++
-			if p.record.FailureDomain == d.config.Self.FailureDomain {
-				mates++
-			}
+			rank++
 		}
 	}
-	return all, mates
+	return rank
 }
 
 // rebuild makes the index of endpoints. The lock is held.
--- a/peers/types.go
+++ b/peers/types.go
@@ -48,8 +48,9 @@
 
 // Status is what a host reports to its peers.
 type Status struct {
-	Record      Record `cbor:"1,keyasint"`
-	PlanVersion uint64 `cbor:"2,keyasint,omitempty"`
+	// Record is left out of all reports on a link but the first.
+	Record      *Record `cbor:"1,keyasint,omitempty"`
+	PlanVersion uint64  `cbor:"2,keyasint,omitempty"`
 	// PlanAge is how long ago the version was known to be the newest.
 	PlanAge time.Duration `cbor:"5,keyasint,omitempty"`
 	// Leaving is set once the host's process has begun to stop.
@@ -58,12 +59,9 @@
 	Endpoint *EndpointStatus `cbor:"4,keyasint,omitempty"`
 }
 
-// planRequest asks for the plan in force.
+// planRequest asks for the plan in force, as a difference to the version that
+// the asking host has.
 type planRequest struct {
-	_ struct{} `cbor:",toarray"`
-}
-
-type planValue struct {
-	_     struct{} `cbor:",toarray"`
-	Value []byte
+	_    struct{} `cbor:",toarray"`
+	Have uint64
 }
--- a/routeplan/routeplan.go
+++ b/routeplan/routeplan.go
@@ -48,6 +48,7 @@
 
 // Part is one service of a route with its share of the calls.
 type Part struct {
+	_       struct{} `cbor:",toarray"`
 	Service mesh.ServiceName
 	// Weight is relative to the other parts of the route.
 	Weight float64
@@ -55,6 +56,7 @@
 
 // Route says where calls of a host name and path prefix go.
 type Route struct {
+	_      struct{} `cbor:",toarray"`
 	Name   string
 	Host   string
 	Prefix string
@@ -72,6 +74,7 @@
 
 // Service describes a service of the plan.
 type Service struct {
+	_              struct{} `cbor:",toarray"`
 	Name           mesh.ServiceName
 	HealthPath     string
 	MaxConnections int
@@ -79,6 +82,7 @@
 
 // Limits bound what a client may send and how long it may take.
 type Limits struct {
+	_             struct{} `cbor:",toarray"`
 	HeaderBytes   int
 	BodyBytes     int64
 	HeaderTimeout time.Duration
--- /dev/null
+++ b/routeplan/routeplan_test.go
@@ -0,0 +1,96 @@
+package routeplan_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"geraniumnotch.example/geraniumnotch/routeplan"
+)
+
+func route(name, host, prefix string, parts ...routeplan.Part) routeplan.Route {
+	return routeplan.Route{
+		Name: name, Host: host, Prefix: prefix, Kind: routeplan.Idempotent, Timeout: time.Second, Target: time.Second / 2,
+		MaxAttempts: 2, Parts: parts,
+	}
+}
+
+func plan(version uint64, routes ...routeplan.Route) *routeplan.Plan {
+	return &routeplan.Plan{
+		Version: version, Routes: routes, Services: []routeplan.Service{{Name: "a"}, {Name: "b"}},
+		Limits: routeplan.Limits{HeaderBytes: 1, BodyBytes: 1, HeaderTimeout: 1, IdleTimeout: 1},
+	}
+}
+
+// Guards against a call that takes a shorter prefix, another host's route, or a
+// prefix that ends within a path segment.
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	Convey("routes with nested prefixes", t, func() {
+		part := routeplan.Part{Service: "a", Weight: 1}
+		p := plan(1, route("root", "h", "/", part), route("x", "h", "/x/", part), route("xy", "h", "/x/y/", part), route("other", "g", "/x/y/", part))
+		So(p.Compile(), ShouldBeNil)
+		for path, name := range map[string]string{
+			"/": "root", "/x": "root", "/x/": "x", "/x/y": "x", "/x/y/": "xy", "/x/y/z": "xy", "/xy/": "root",
+		} {
+			So(p.Match("h", path).Name, ShouldEqual, name)
+		}
+		So(p.Match("g", "/x/"), ShouldBeNil)
+		So(p.Match("unknown", "/"), ShouldBeNil)
+	})
+}
+
+// Guards against a plan that is applied in part.
+func TestCompileRejectsAWholePlan(t *testing.T) {
+	Convey("one bad route makes the plan unusable", t, func() {
+		good := route("good", "h", "/", routeplan.Part{Service: "a", Weight: 1})
+		for name, bad := range map[string]routeplan.Route{
+			"unknown service": route("r", "h", "/r/", routeplan.Part{Service: "c", Weight: 1}),
+			"no part":         route("r", "h", "/r/"),
+			"zero weights":    route("r", "h", "/r/", routeplan.Part{Service: "a"}),
+			"negative weight": route("r", "h", "/r/", routeplan.Part{Service: "a", Weight: -1}, routeplan.Part{Service: "b", Weight: 2}),
+			"no slash":        route("r", "h", "/r", routeplan.Part{Service: "a", Weight: 1}),
+			"same place":      route("r", "h", "/", routeplan.Part{Service: "a", Weight: 1}),
+			"no host":         route("r", "", "/r/", routeplan.Part{Service: "a", Weight: 1}),
+		} {
+			Convey(name, func() { So(plan(1, good, bad).Compile(), ShouldNotBeNil) })
+		}
+		Convey("version zero", func() { So(plan(0, good).Compile(), ShouldEqual, routeplan.ErrNoVersion) })
+	})
+}
+
+// Guards against a proxy that goes back to an older version.
+func TestOfferNeverGoesBack(t *testing.T) {
+	Convey("versions that cross each other", t, func() {
+		var current routeplan.Current
+		So(current.Offer(plan(5)), ShouldBeTrue)
+		So(current.Offer(plan(4)), ShouldBeFalse)
+		So(current.Offer(plan(5)), ShouldBeFalse)
+		So(current.Load().Version, ShouldEqual, 5)
+		So(current.Offer(plan(9)), ShouldBeTrue)
+	})
+}
+
+// Guards against a split that drifts from its weights.
+func TestSplitterKeepsTheWeightsAtAnyMoment(t *testing.T) {
+	Convey("weights 90 and 10, and a part without weight", t, func() {
+		r := route("r", "h", "/", routeplan.Part{Service: "a", Weight: 90}, routeplan.Part{Service: "b", Weight: 10}, routeplan.Part{Service: "c"})
+		var s routeplan.Splitter
+		count := map[string]int{}
+		for i := 1; i <= 1000; i++ {
+			count[string(s.Choose(&r).Service)]++
+			So(float64(count["b"]), ShouldAlmostEqual, float64(i)*0.1, 1)
+		}
+		So(count["c"], ShouldEqual, 0)
+		Convey("new weights start anew", func() {
+			r.Parts = []routeplan.Part{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}
+			b := 0
+			for range 100 {
+				if s.Choose(&r).Service == "b" {
+					b++
+				}
+			}
+			So(b, ShouldEqual, 50)
+		})
+	})
+}
--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -59,8 +59,9 @@
 
 // Ticket is a call that waits for a slot or holds one.
 type Ticket struct {
-	work    Work
-	arrived boottime.Time
+	work Work
+	// number orders tickets by their arrival.
+	number uint64
 	// ready receives true with a slot and false with a refusal.
 	ready   chan bool
 	waiting bool
@@ -90,9 +91,11 @@
 	nested  int
 	waiting []*Ticket
 	closed  string
-	means   map[Class]*mean
-	overall mean
-	random  func() float64
+	// arrivals counts the calls offered.
+	arrivals uint64
+	means    map[Class]*mean
+	overall  mean
+	random   func() float64
 }
 
 type mean struct {
@@ -135,7 +138,8 @@
 	if w.DeadlineBy-now < time.Duration(leastRun*float64(run)) || w.DeadlineBy <= now {
 		return nil, &Refusal{Reason: call.ReasonTooLate}
 	}
-	t := &Ticket{work: w, arrived: now, ready: make(chan bool, 1)}
+	q.arrivals++
+	t := &Ticket{work: w, number: q.arrivals, ready: make(chan bool, 1)}
 	if q.running < q.slots && len(q.waiting) == 0 {
 		q.start(t)
 		return t, nil
@@ -210,7 +214,10 @@
 	if a.work.Class.Rank != b.work.Class.Rank {
 		return a.work.Class.Rank < b.work.Class.Rank
 	}
-	return a.work.TargetBy < b.work.TargetBy
+	if a.work.TargetBy != b.work.TargetBy {
+		return a.work.TargetBy < b.work.TargetBy
+	}
+	return a.number < b.number
 }
 
 func (q *Queue) mean(c Class, now boottime.Time) time.Duration {
