--- /dev/null
+++ b/entrance/entrance_test.go
@@ -0,0 +1,426 @@
+package entrance_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"geraniumnotch.example/geraniumnotch/boottime"
+	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/entrance"
+	"geraniumnotch.example/geraniumnotch/hosted"
+	"geraniumnotch.example/geraniumnotch/mesh"
+	"geraniumnotch.example/geraniumnotch/peers"
+	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/repeats"
+	"geraniumnotch.example/geraniumnotch/routeplan"
+)
+
+// world is an entry with the endpoint of its own host and no peers.
+type world struct {
+	entry    *entrance.Server
+	plan     routeplan.Current
+	listener net.Listener
+	backend  *http.Server
+	backends net.Listener
+
+	ended chan entrance.Exchange
+}
+
+// Finished implements entrance.Observer.
+func (w *world) Finished(e *entrance.Exchange) {
+	w.ended <- *e
+}
+
+// Attempted implements hosted.Observer.
+func (w *world) Attempted(*call.Call, *hosted.Endpoint, call.Result, time.Duration, time.Duration) {}
+
+// outcome waits until the exchange of a request has ended.
+func (w *world) outcome(id string) entrance.Exchange {
+	for e := range w.ended {
+		if e.ID == id {
+			return e
+		}
+	}
+	return entrance.Exchange{}
+}
+
+func listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return l
+}
+
+func testPlan(version uint64) *routeplan.Plan {
+	part := []routeplan.Part{{Service: "s", Weight: 1}}
+	route := func(name string, kind routeplan.Kind, timeout time.Duration) routeplan.Route {
+		return routeplan.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: timeout, Target: timeout / 2, MaxAttempts: 2, Parts: part}
+	}
+	p := &routeplan.Plan{
+		Version: version, Services: []routeplan.Service{{Name: "s"}},
+		Routes: []routeplan.Route{
+			route("read", routeplan.Idempotent, 5*time.Second), route("order", routeplan.AtMostOnce, 5*time.Second),
+			route("short", routeplan.Idempotent, 200*time.Millisecond),
+		},
+		Limits: routeplan.Limits{HeaderBytes: 4 << 10, BodyBytes: 2 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second},
+	}
+	if err := p.Compile(); err != nil {
+		panic(err)
+	}
+	return p
+}
+
+func newWorld(handler http.HandlerFunc) *world {
+	w := &world{listener: listen(), backends: listen(), ended: make(chan entrance.Exchange, 100)}
+	w.backend = &http.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		out.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		handler(out, r)
+	})}
+	go func() { _ = w.backend.Serve(w.backends) }() // Ends in close.
+	identity := hosted.Identity{Service: "s", Address: w.backends.Addr().String(), FailureDomain: "d"}
+	registration := hosted.NewRegistration(identity, boottime.Now, func(*hosted.Endpoint) {})
+	registration.Announce(hosted.Announcement{ID: "a", Service: "s", Address: identity.Address, FailureDomain: "d", Slots: 4, StartedAtMs: 1, Sequence: 1})
+	gate := hosted.NewGate(registration, platform.Headers{}, boottime.Now, w)
+	directory := peers.New(peers.Config{Self: peers.Record{Host: "host", Address: "127.0.0.1:1"}, Clock: boottime.Now, Local: gate})
+	w.entry = entrance.New(entrance.Config{
+		Plan: &w.plan, Headers: platform.Headers{}, Clock: boottime.Now, Observer: w, Running: gate.Running,
+		Caller: func() mesh.ServiceName { return "s" },
+		Forwarder: &entrance.Forwarder{
+			Domain: "d", Peers: directory, Local: gate, Endpoint: registration, Clock: boottime.Now,
+			Repeats: repeats.New(repeats.Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, boottime.Now, func() int { return 1 }),
+		},
+	})
+	go func() { _ = w.entry.Serve(w.listener) }() // Ends in close.
+	return w
+}
+
+func (w *world) close() {
+	_ = w.listener.Close()
+	_ = w.backend.Close()
+}
+
+func (w *world) dial() (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", w.listener.Addr().String())
+	if err != nil {
+		panic(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second)) // An error shows in the next read.
+	return c, bufio.NewReader(c)
+}
+
+func get(id, path string) string {
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nDeadline-Ms: 5000\r\n\r\n", path, id)
+}
+
+func answer(r *bufio.Reader) (int, string, http.Header) {
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	if response.Close {
+		// The library takes the header out.
+		response.Header.Set("Connection", "close")
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return response.StatusCode, err.Error(), response.Header
+	}
+	return response.StatusCode, string(body), response.Header
+}
+
+// Guards against answers that reach another request of the connection, and
+// against requests that wait for the one before although they could run.
+func TestPipelinedRequests(t *testing.T) {
+	Convey("the first answer waits for the second request to arrive", t, func() {
+		second := make(chan struct{})
+		w := newWorld(func(out http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/read/1" {
+				<-second
+			} else {
+				close(second)
+			}
+			_, _ = io.WriteString(out, r.URL.Path) // The client checks the body.
+		})
+		defer w.close()
+		w.plan.Offer(testPlan(1))
+		c, r := w.dial()
+		defer func() { _ = c.Close() }()
+		_, err := io.WriteString(c, get("1", "/read/1")+get("2", "/read/2"))
+		So(err, ShouldBeNil)
+		for _, path := range []string{"/read/1", "/read/2"} {
+			status, body, _ := answer(r)
+			So(status, ShouldEqual, 200)
+			So(body, ShouldEqual, path)
+		}
+	})
+}
+
+// Guards against wrong statuses for requests that are not forwarded.
+func TestRequestsThatAreNotForwarded(t *testing.T) {
+	Convey("an entry", t, func() {
+		w := newWorld(func(out http.ResponseWriter, _ *http.Request) {})
+		defer w.close()
+		c, r := w.dial()
+		defer func() { _ = c.Close() }()
+		ask := func(request string) (int, http.Header) {
+			_, err := io.WriteString(c, request)
+			So(err, ShouldBeNil)
+			status, _, h := answer(r)
+			return status, h
+		}
+		Convey("without a plan refuses and names a time to return", func() {
+			status, h := ask(get("1", "/read/1"))
+			So(status, ShouldEqual, 503)
+			So(h.Get("Retry-After"), ShouldNotBeEmpty)
+		})
+		Convey("with a plan", func() {
+			w.plan.Offer(testPlan(1))
+			for name, request := range map[string]struct {
+				text   string
+				status int
+			}{
+				"no route":   {get("1", "/unknown/"), 404},
+				"no ID":      {"GET /read/ HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+				"no HTTP":    {"nonsense\r\n\r\n", 400},
+				"long head":  {"GET /read/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nX: " + strings.Repeat("x", 8<<10) + "\r\n\r\n", 431},
+				"long body":  {"POST /order/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: 99999999\r\n\r\n", 413},
+				"two bodies": {"POST /order/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400},
+			} {
+				Convey(name, func() {
+					status, _ := ask(request.text)
+					So(status, ShouldEqual, request.status)
+				})
+			}
+		})
+	})
+}
+
+// Guards against bodies that arrive changed, whatever their framing and length.
+func TestBodies(t *testing.T) {
+	Convey("an endpoint that returns the body", t, func() {
+		w := newWorld(func(out http.ResponseWriter, r *http.Request) {
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = out.Write(body) // The client checks the body.
+		})
+		defer w.close()
+		w.plan.Offer(testPlan(1))
+		for _, size := range []int{0, 1, 5000, 70_000, 1_500_000} {
+			for _, chunked := range []bool{false, true} {
+				Convey(fmt.Sprint(size, " bytes, chunked ", chunked), func() {
+					body := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
+					var reader io.Reader = bytes.NewReader(body)
+					if chunked {
+						reader = io.MultiReader(reader)
+					}
+					request, err := http.NewRequest("POST", "http://"+w.listener.Addr().String()+"/order/x?q=1", reader)
+					So(err, ShouldBeNil)
+					request.Host = "h"
+					request.Header.Set("Request-Id", "b")
+					transport := &http.Transport{}
+					defer transport.CloseIdleConnections()
+					response, err := transport.RoundTrip(request)
+					So(err, ShouldBeNil)
+					got, err := io.ReadAll(response.Body)
+					So(err, ShouldBeNil)
+					So(len(got), ShouldEqual, size)
+					So(bytes.Equal(got, body), ShouldBeTrue)
+				})
+			}
+		}
+		Convey("a body over the limit is refused while it arrives", func() {
+			request, err := http.NewRequest("POST", "http://"+w.listener.Addr().String()+"/order/x", io.MultiReader(bytes.NewReader(make([]byte, 3<<20))))
+			So(err, ShouldBeNil)
+			request.Host = "h"
+			request.Header.Set("Request-Id", "b")
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			if response, err := transport.RoundTrip(request); err == nil {
+				So(response.StatusCode, ShouldBeGreaterThanOrEqualTo, 400)
+			}
+		})
+	})
+}
+
+// Guards against an answer that ends early and looks whole.
+func TestAnswerThatBreaksOff(t *testing.T) {
+	Convey("a long answer of an endpoint that breaks off", t, func() {
+		w := newWorld(func(out http.ResponseWriter, _ *http.Request) {
+			_, _ = out.Write(make([]byte, 300<<10)) // The handler breaks off next.
+			out.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		defer w.close()
+		w.plan.Offer(testPlan(1))
+		c, r := w.dial()
+		defer func() { _ = c.Close() }()
+		_, err := io.WriteString(c, get("1", "/order/1"))
+		So(err, ShouldBeNil)
+		response, err := http.ReadResponse(r, nil)
+		So(err, ShouldBeNil)
+		_, err = io.ReadAll(response.Body)
+		So(err, ShouldNotBeNil)
+	})
+	Convey("a short answer that breaks off is replaced by a failure", t, func() {
+		w := newWorld(func(out http.ResponseWriter, _ *http.Request) {
+			out.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(out, "part") // The handler breaks off next.
+			panic(http.ErrAbortHandler)
+		})
+		defer w.close()
+		w.plan.Offer(testPlan(1))
+		c, r := w.dial()
+		defer func() { _ = c.Close() }()
+		_, err := io.WriteString(c, get("1", "/order/1"))
+		So(err, ShouldBeNil)
+		status, _, _ := answer(r)
+		So(status, ShouldEqual, 502)
+	})
+}
+
+// Guards against a caller that is kept beyond the route's timeout, against work
+// that goes on for it, and against at-most-once calls that run twice.
+func TestTimeoutAndRepeats(t *testing.T) {
+	Convey("an endpoint that does not answer in time", t, func() {
+		cancelled := make(chan struct{})
+		w := newWorld(func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			close(cancelled)
+		})
+		defer w.close()
+		w.plan.Offer(testPlan(1))
+		c, r := w.dial()
+		defer func() { _ = c.Close() }()
+		began := time.Now()
+		_, err := io.WriteString(c, get("1", "/short/1"))
+		So(err, ShouldBeNil)
+		status, _, _ := answer(r)
+		So(status, ShouldEqual, 504)
+		So(time.Since(began), ShouldBeBetween, 190*time.Millisecond, 700*time.Millisecond)
+		<-cancelled
+	})
+	Convey("an endpoint whose answers are lost", t, func() {
+		var mu sync.Mutex
+		runs := map[string]int{}
+		w := newWorld(func(_ http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			runs[r.Header.Get("Request-Id")]++
+			mu.Unlock()
+			panic(http.ErrAbortHandler)
+		})
+		defer w.close()
+		w.plan.Offer(testPlan(1))
+		c, r := w.dial()
+		defer func() { _ = c.Close() }()
+		_, err := io.WriteString(c, get("1", "/order/1"))
+		So(err, ShouldBeNil)
+		status, _, _ := answer(r)
+		So(status, ShouldEqual, 502)
+		mu.Lock()
+		defer mu.Unlock()
+		So(runs["1"], ShouldEqual, 1)
+	})
+	Convey("the client leaves while its call runs", t, func() {
+		started, cancelled := make(chan struct{}), make(chan struct{})
+		w := newWorld(func(_ http.ResponseWriter, r *http.Request) {
+			close(started)
+			<-r.Context().Done()
+			close(cancelled)
+		})
+		defer w.close()
+		w.plan.Offer(testPlan(1))
+		c, _ := w.dial()
+		_, err := io.WriteString(c, get("1", "/read/1"))
+		So(err, ShouldBeNil)
+		<-started
+		So(c.Close(), ShouldBeNil)
+		<-cancelled
+	})
+}
+
+// Guards against requests that a stopping node cuts or takes too late.
+func TestDrain(t *testing.T) {
+	Convey("a call under way is answered, and the connection ends with it", t, func() {
+		started, release := make(chan struct{}), make(chan struct{})
+		w := newWorld(func(out http.ResponseWriter, _ *http.Request) {
+			close(started)
+			<-release
+			_, _ = io.WriteString(out, "done") // The client checks the body.
+		})
+		defer w.close()
+		w.plan.Offer(testPlan(1))
+		c, r := w.dial()
+		defer func() { _ = c.Close() }()
+		_, err := io.WriteString(c, get("1", "/read/1"))
+		So(err, ShouldBeNil)
+		<-started
+		now := boottime.Now()
+		w.entry.Drain(now, now+time.Second)
+		w.entry.CloseIdle()
+		Convey("a call that may outlast the node is refused at once", func() {
+			other, or := w.dial()
+			defer func() { _ = other.Close() }()
+			_, err := io.WriteString(other, get("2", "/read/2"))
+			So(err, ShouldBeNil)
+			status, _, h := answer(or)
+			So(status, ShouldEqual, 503)
+			So(h.Get("Connection"), ShouldEqual, "close")
+			close(release)
+		})
+		Convey("the answer is whole and says that the connection ends", func() {
+			close(release)
+			status, body, h := answer(r)
+			So(status, ShouldEqual, 200)
+			So(body, ShouldEqual, "done")
+			So(h.Get("Connection"), ShouldEqual, "close")
+			_, err = r.ReadByte()
+			So(err, ShouldEqual, io.EOF)
+			So(w.entry.Active(), ShouldEqual, 0)
+		})
+	})
+}
+
+// Guards against a repeat that follows from a refused nested call.
+func TestNestedFailureIsNotRepeated(t *testing.T) {
+	Convey("an endpoint whose nested call finds no route", t, func() {
+		var w *world
+		var mu sync.Mutex
+		runs := 0
+		w = newWorld(func(out http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			runs++
+			mu.Unlock()
+			c, nr := w.dial()
+			defer func() { _ = c.Close() }()
+			_, _ = io.WriteString(c, get(r.Header.Get("Request-Id")+".n", "/unknown/")) // The answer shows an error.
+			if status, _, _ := answer(nr); status != 200 {
+				out.WriteHeader(http.StatusInternalServerError)
+			}
+		})
+		defer w.close()
+		w.plan.Offer(testPlan(1))
+		c, r := w.dial()
+		defer func() { _ = c.Close() }()
+		_, err := io.WriteString(c, get("p", "/read/1"))
+		So(err, ShouldBeNil)
+		status, _, _ := answer(r)
+		So(status, ShouldEqual, 500)
+		mu.Lock()
+		So(runs, ShouldEqual, 1)
+		mu.Unlock()
+		So(w.outcome("p.n").Nested, ShouldBeTrue)
+	})
+}
--- a/entrance/exchange.go
+++ b/entrance/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +28,8 @@
 	// this one has.
 	before, done chan struct{}
 	closing      bool
+	// streamed is the body when it is forwarded while it arrives.
+	streamed *streamedBody
 }
 
 func (c *connection) disconnected(err error) bool {
@@ -47,9 +50,6 @@
 func (x *exchange) finish() {
 	c := x.c
 	x.Took = c.server.config.Clock() - x.started
-	if x.Nested && (x.Status >= http.StatusBadRequest || x.Status == 0) {
-		c.server.config.Running.ChildFailed(x.ID)
-	}
 	c.server.config.Observer.Finished(&x.Exchange)
 	c.server.active.Add(-1)
 	if x.closing {
@@ -84,6 +84,7 @@
 		return false
 	}
 	x.Wait = wait
+	x.Rank, x.Nested = c.server.config.Running.Parent(id)
 	if failure := x.route(request); failure != nil {
 		x.closing = x.closing || request.ContentLength != 0
 		x.fail(failure.status, failure.reason, failure.retryAfter)
@@ -141,9 +142,8 @@
 	if x.Wait > 0 {
 		left = min(left, x.Wait)
 	}
-	x.Rank = x.Route.Rank
-	if rank, nested := s.config.Running.Parent(x.ID); nested {
-		x.Rank, x.Nested = rank, true
+	if !x.Nested {
+		x.Rank = x.Route.Rank
 	}
 	if !x.Nested && x.Wait > 0 {
 		x.Age = s.ages.Observe(x.Route, x.Wait, x.started)
@@ -193,7 +193,7 @@
 		x.fail(http.StatusRequestEntityTooLarge, "body_too_long", 0)
 		return false
 	case len(body) > keptBodyBytes:
-		return x.streamBody(cl, body, request.Body)
+		return x.streamBody(cl, body, request.Body, most)
 	}
 	cl.BodyBytes, cl.Body = int64(len(body)), call.BytesBody(body)
 	_ = x.c.net.SetReadDeadline(time.Time{}) // An error shows in the next read.
@@ -217,10 +217,11 @@
 }
 
 // streamBody forwards a long body while it arrives.
-func (x *exchange) streamBody(cl *call.Call, begun []byte, rest io.Reader) bool {
+func (x *exchange) streamBody(cl *call.Call, begun []byte, rest io.Reader, most int64) bool {
 	ctx, cancel := context.WithCancel(x.c.ctx)
 	defer cancel()
-	body := &streamedBody{begun: begun, rest: rest, broken: cancel, whole: make(chan struct{})}
+	body := &streamedBody{begun: begun, rest: rest, left: most - int64(len(begun)), broken: cancel, whole: make(chan struct{})}
+	x.streamed = body
 	cl.Body = body
 	go x.run(ctx, cl)
 	select {
@@ -245,8 +246,13 @@
 	once   sync.Once
 	whole  chan struct{}
 	begunR bool
+	// left is how much more may follow; tooLong is set when more did.
+	left    int64
+	tooLong atomic.Bool
 }
 
+var errBodyTooLong = errors.New("entrance: request body too long")
+
 // Read returns the next bytes. A body that breaks off ends the call.
 func (b *streamedBody) Read(p []byte) (int, error) {
 	b.begunR = true
@@ -256,6 +262,11 @@
 		return n, nil
 	}
 	n, err := b.rest.Read(p)
+	if b.left -= int64(n); b.left < 0 {
+		b.tooLong.Store(true)
+		b.broken()
+		return 0, errBodyTooLong
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		b.once.Do(func() { close(b.whole) })
@@ -277,9 +288,18 @@
 	}
 }
 
+// noteFailure tells the running call that made this one, before that can see the
+// answer and end.
+func (x *exchange) noteFailure() {
+	if x.Nested && (x.Status >= http.StatusBadRequest || x.Status == 0) {
+		x.c.server.config.Running.ChildFailed(x.ID)
+	}
+}
+
 // abandon ends an exchange without an answer, because the connection ends.
 func (x *exchange) abandon() {
 	x.Reason, x.closing = call.ReasonCancelled, true
+	x.noteFailure()
 	<-x.before
 	x.finish()
 }
@@ -299,6 +319,11 @@
 		x.c.server.ages.Refused(x.c.server.config.Clock())
 		x.fail(http.StatusServiceUnavailable, r.Reason, r.RetryAfter)
 	case call.Expired:
+		if x.streamed != nil && x.streamed.tooLong.Load() {
+			x.closing = true
+			x.fail(http.StatusRequestEntityTooLarge, "body_too_long", 0)
+			return
+		}
 		if ctx.Err() != nil {
 			x.abandon()
 			return
@@ -320,6 +345,7 @@
 		return
 	}
 	x.Status = a.Status
+	x.noteFailure()
 	removeConnectionHeaders(a.Header)
 	x.closing = x.closing || x.c.server.draining.Load()
 	w := x.writer()
@@ -384,6 +410,7 @@
 		return
 	}
 	x.Status, x.Reason = status, reason
+	x.noteFailure()
 	x.closing = x.closing || x.c.server.draining.Load()
 	h := http.Header{}
 	x.c.server.config.Headers.SetRequestID(h, x.ID)
--- a/entrance/server.go
+++ b/entrance/server.go
@@ -260,6 +260,8 @@
 		if !c.awaitByte(limits) || !c.state.CompareAndSwap(stateIdle, stateReading) {
 			return
 		}
+		// A plan may have come while the connection was idle.
+		limits = c.limits()
 		started := c.server.config.Clock()
 		c.limit.left = limits.HeaderBytes
 		_ = c.net.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // An error shows in the next read.
