--- a/events/catalogue_test.go
+++ b/events/catalogue_test.go
@@ -8,6 +8,7 @@
 
 	"geraniumnotch.example/geraniumnotch/events"
 
+	_ "geraniumnotch.example/geraniumnotch/hostnode"
 	_ "geraniumnotch.example/geraniumnotch/node"
 )
 
--- /dev/null
+++ b/hostnode/hostnode_test.go
@@ -0,0 +1,360 @@
+package hostnode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/platform/standin"
+)
+
+// site is a store with nodes and endpoints beside them, all on loopback.
+type site struct {
+	store *standin.Store
+	dir   string
+	hosts []*siteHost
+}
+
+type siteHost struct {
+	site     *site
+	name     string
+	address  map[string]string
+	node     *Node
+	endpoint *http.Server
+
+	mu       sync.Mutex
+	sequence int
+	runs     map[string]int
+}
+
+func freeAddress() (net.Listener, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return l, l.Addr().String()
+}
+
+func newSite(t *testing.T) *site { return &site{store: standin.New(), dir: t.TempDir()} }
+
+func (s *site) close() {
+	for _, h := range s.hosts {
+		if h.node != nil {
+			h.node.cancel()
+			h.node.closeListeners()
+		}
+		_ = h.endpoint.Close()
+	}
+	s.store.Close()
+}
+
+// add starts a host with an endpoint that answers with the name of its host.
+func (s *site) add(name, service string) *siteHost {
+	h := &siteHost{site: s, name: name, address: map[string]string{}, runs: map[string]int{}}
+	l, address := freeAddress()
+	h.address["endpoint"] = address
+	h.endpoint = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.mu.Lock()
+		h.runs[r.Header.Get("Request-Id")]++
+		h.mu.Unlock()
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Response-Stamp", "stamp")
+		_, _ = io.WriteString(w, name+" "+r.Header.Get("Caller-Service")) // The client checks the body.
+	})}
+	go func() { _ = h.endpoint.Serve(l) }() // Ends in close.
+	for _, use := range []string{"calls", "peers", "ready", "announcements", "metrics"} {
+		l, address := freeAddress()
+		_ = l.Close() // The node listens there.
+		h.address[use] = address
+	}
+	h.write(service)
+	s.hosts = append(s.hosts, h)
+	h.start()
+	return h
+}
+
+func (h *siteHost) path() string { return filepath.Join(h.site.dir, h.name+".ini") }
+
+func (h *siteHost) write(service string) {
+	text := fmt.Sprintf(settingsText, h.name, service, h.address["endpoint"], h.address["calls"], h.address["peers"],
+		h.address["ready"], h.address["announcements"], h.address["metrics"], h.site.store.Address())
+	if err := os.WriteFile(h.path(), []byte(text), 0o600); err != nil {
+		panic(err)
+	}
+}
+
+func (h *siteHost) start() {
+	n, err := New(h.path(), hclog.NewNullLogger())
+	if err != nil {
+		panic(err)
+	}
+	if err := n.Start(); err != nil {
+		panic(err)
+	}
+	h.node = n
+}
+
+const settingsText = `[host]
+name = %s
+failure-domain = d
+memory-mb = 200
+[endpoint]
+service = %s
+address = %s
+[listen]
+calls = %s
+peers = %s
+ready = %s
+announcements = %s
+metrics = %s
+[store]
+address = %s
+[bounds]
+drain-s = 6
+plan-deadline-ms = 2000
+repeat-ratio = 0.2
+repeat-slack = 58
+repeat-window-s = 10
+`
+
+func post(url, body string) int {
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// announce sends a heartbeat of the endpoint beside the host.
+func (h *siteHost) announce(service, state string) int {
+	h.sequence++
+	return post("http://"+h.address["announcements"]+"/instances/i-"+h.name+"/heartbeat", fmt.Sprintf(
+		`{"address":%q,"born":1000,"info":{"service":%q,"version":"v1","zone":"d","slots":4},"status":{"state":%q,"sequence":%d,"cold-remaining-ms":0}}`,
+		h.address["endpoint"], service, state, h.sequence))
+}
+
+// get sends a call to the host's entry.
+func (h *siteHost) get(id, path string) (int, string) {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+h.address["calls"]+path, nil)
+	if err != nil {
+		panic(err)
+	}
+	request.Host = "h.example"
+	request.Header.Set("Request-Id", id)
+	request.Header.Set("Deadline-Ms", "2000")
+	// A connection must not outlive the node that the test ends.
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return response.StatusCode, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
+
+// config is the operator's configuration with one route for each service.
+func config(version int, services ...string) []byte {
+	var routes, known []map[string]any
+	for _, s := range services {
+		routes = append(routes, map[string]any{
+			"name": "r-" + s, "host": "h.example", "path-prefix": "/" + s + "/", "route-type": "safe", "timeout-ms": 2000,
+			"target-latency-ms": 500, "priority": 0, "service": s, "max-attempts": 2,
+		})
+		known = append(known, map[string]any{"name": s, "health-path": "/health", "max-connections": 100})
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": fmt.Sprintf("%08x", version), "routes": routes, "services": known,
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// waitFor waits until a state that other goroutines bring about is there.
+func waitFor(state func() bool) {
+	for end := time.Now().Add(15 * time.Second); !state(); {
+		if time.Now().After(end) {
+			panic("state not reached in 15 s")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against a path from client to endpoint that has a gap: store, plan,
+// announcements, links, gate and entry together.
+func TestWholePath(t *testing.T) {
+	Convey("two hosts of different services", t, func() {
+		s := newSite(t)
+		defer s.close()
+		s.store.Write(platform.ConfigKey, config(4, "one", "two"))
+		a, b := s.add("host-a", "one"), s.add("host-b", "two")
+		So(a.announce("one", "ready"), ShouldEqual, 200)
+		So(b.announce("two", "ready"), ShouldEqual, 200)
+		reaches := func(h *siteHost, path, answer string) func() bool {
+			return func() bool {
+				status, body := h.get("w", path)
+				return status == 200 && body == answer
+			}
+		}
+		waitFor(reaches(a, "/two/x", "host-b one"))
+		waitFor(reaches(b, "/one/x", "host-a two"))
+		waitFor(func() bool { return a.node.ready() && b.node.ready() })
+
+		Convey("a version is in force on both, and never an older one", func() {
+			s.store.Write(platform.ConfigKey, config(9, "one", "two", "three"))
+			waitFor(func() bool { return a.node.keeper.version() == 9 && b.node.keeper.version() == 9 })
+			s.store.Write(platform.ConfigKey, config(7, "one"))
+			calls := s.store.Calls("/kv-txn")
+			waitFor(func() bool { return s.store.Calls("/kv-txn") > calls+1 })
+			So(a.node.keeper.version(), ShouldEqual, 9)
+			So(b.node.keeper.version(), ShouldEqual, 9)
+		})
+		Convey("malformed configurations and records change nothing", func() {
+			s.store.Write(platform.ConfigKey, []byte(`{"version":"000000ff"`))
+			s.store.Write("geraniumnotch/hosts/other", []byte("garbage"))
+			calls := s.store.Calls("/kv-txn")
+			waitFor(func() bool { return s.store.Calls("/kv-txn") > calls+1 })
+			So(a.node.keeper.version(), ShouldEqual, 4)
+			So(reaches(a, "/two/x", "host-b one")(), ShouldBeTrue)
+		})
+		Convey("both serve while the store refuses all calls", func() {
+			s.store.SetFault(func(string) standin.Fault { return standin.Busy })
+			calls := s.store.Calls("/")
+			waitFor(func() bool { return s.store.Calls("/") > calls+1 })
+			So(reaches(a, "/two/x", "host-b one")(), ShouldBeTrue)
+		})
+		Convey("a host whose reads the store refuses gets the version from the other", func() {
+			s.store.SetFault(func(path string) standin.Fault { return standin.None })
+			first := true
+			var mu sync.Mutex
+			s.store.SetFault(func(path string) standin.Fault {
+				mu.Lock()
+				defer mu.Unlock()
+				// Every second comparison fails, whoever makes it.
+				if first = !first; path == "/kv-txn" && first {
+					return standin.Reset
+				}
+				return standin.None
+			})
+			s.store.Write(platform.ConfigKey, config(9, "one", "two"))
+			waitFor(func() bool { return a.node.keeper.version() == 9 && b.node.keeper.version() == 9 })
+		})
+		Convey("a leaving endpoint gets nothing once its announcement is answered", func() {
+			So(b.announce("two", "draining"), ShouldEqual, 200)
+			b.mu.Lock()
+			runs := len(b.runs)
+			b.mu.Unlock()
+			for i := range 20 {
+				status, _ := a.get(fmt.Sprint("late", i), "/two/x")
+				So(status, ShouldEqual, 503)
+			}
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			So(len(b.runs), ShouldEqual, runs)
+		})
+		Convey("malformed announcements are rejected and change nothing", func() {
+			So(post("http://"+b.address["announcements"]+"/instances/i-x/heartbeat", "garbage"), ShouldEqual, 400)
+			So(b.announce("three", "ready"), ShouldEqual, 200)
+			So(reaches(a, "/two/x", "host-b one")(), ShouldBeTrue)
+		})
+		Convey("a change of the settings file without a signal is taken over", func() {
+			b.write("one")
+			So(b.announce("one", "ready"), ShouldEqual, 200)
+			waitFor(func() bool {
+				status, _ := a.get("n", "/two/x")
+				return status == 503
+			})
+			waitFor(reaches(b, "/one/x", "host-b one"))
+		})
+		Convey("all nodes are lost at once and serve again, with the store as the only memory", func() {
+			for _, h := range s.hosts {
+				h.node.cancel()
+				h.node.closeListeners()
+			}
+			for _, h := range s.hosts {
+				h.start()
+			}
+			So(a.announce("one", "ready"), ShouldEqual, 200)
+			So(b.announce("two", "ready"), ShouldEqual, 200)
+			waitFor(reaches(a, "/two/x", "host-b one"))
+		})
+		Convey("the metrics address serves counters and histograms", func() {
+			response, err := http.Get("http://" + a.address["metrics"] + "/metrics")
+			So(err, ShouldBeNil)
+			text, err := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			So(err, ShouldBeNil)
+			So(string(text), ShouldContainSubstring, "host_calls_total")
+			So(string(text), ShouldContainSubstring, "host_call_seconds_bucket")
+		})
+	})
+}
+
+// Guards against a host that is missing in the store after its lease has lapsed.
+func TestRegistrationReturnsAfterLapsedLeases(t *testing.T) {
+	Convey("the leases end while the store refuses calls", t, func() {
+		s := newSite(t)
+		defer s.close()
+		s.add("host-a", "one")
+		key := hostsPrefix + "host-a"
+		waitFor(func() bool { return len(s.store.Keys(key)) == 1 })
+		s.store.EndLeases()
+		So(s.store.Keys(key), ShouldBeEmpty)
+		lease := uint64(1)
+		So(s.hosts[0].node.registrar.round(context.Background(), &lease, 1), ShouldBeNil)
+		So(s.store.Keys(key), ShouldHaveLength, 1)
+	})
+}
+
+// Guards against settings whose faults show one at a time, or not at all.
+func TestSettings(t *testing.T) {
+	good := fmt.Sprintf(settingsText, "h", "s", "10.0.0.1:1", "10.0.0.1:2", "10.0.0.1:3", "10.0.0.1:4", "10.0.0.1:5", "10.0.0.1:6", "10.0.0.1:7")
+	Convey("good settings", t, func() {
+		s, err := ParseSettings([]byte(good))
+		So(err, ShouldBeNil)
+		So(s.PlanDeadline, ShouldEqual, 2*time.Second)
+		So(s.Repeats.Slack, ShouldEqual, 58)
+		So(s.Listen.Ready, ShouldEqual, "10.0.0.1:4")
+	})
+	Convey("all faults are named at once", t, func() {
+		bad := strings.NewReplacer("memory-mb = 200", "memory-mb = few", "10.0.0.1:7", "store.example:7", "drain-s = 6", "").Replace(good)
+		_, err := ParseSettings([]byte(bad))
+		So(err, ShouldNotBeNil)
+		for _, key := range []string{"memory-mb", "address", "drain-s"} {
+			So(err.Error(), ShouldContainSubstring, key)
+		}
+	})
+	Convey("the template holds all keys of the settings", t, func() {
+		template, err := os.ReadFile("../deploy/host.ini")
+		So(err, ShouldBeNil)
+		for line := range strings.Lines(settingsText) {
+			key, _, _ := strings.Cut(line, "=")
+			So(string(template), ShouldContainSubstring, strings.TrimSpace(key))
+		}
+	})
+}
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -253,8 +253,16 @@
 	}
 	eventStopped.Log(n.logger, "calls", n.entry.Active(), "took_ms", time.Since(begun).Milliseconds())
 	n.cancel()
+	n.closeListeners()
+}
+
+// closeListeners ends the taking of connections.
+func (n *Node) closeListeners() {
 	for _, l := range n.listeners {
-		_ = l.Close() // The process ends.
+		_ = l.Close() // Nothing is left to do with it.
+	}
+	for _, s := range n.servers {
+		_ = s.Close() // Nothing is left to do with it.
 	}
 }
 
--- a/internal/docgen/main.go
+++ b/internal/docgen/main.go
@@ -9,6 +9,7 @@
 	"geraniumnotch.example/geraniumnotch/events"
 	"geraniumnotch.example/geraniumnotch/settings"
 
+	_ "geraniumnotch.example/geraniumnotch/hostnode"
 	_ "geraniumnotch.example/geraniumnotch/node"
 )
 
--- /dev/null
+++ b/peers/peers_test.go
@@ -0,0 +1,256 @@
+package peers_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"geraniumnotch.example/geraniumnotch/boottime"
+	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/mesh"
+	"geraniumnotch.example/geraniumnotch/peers"
+	"geraniumnotch.example/geraniumnotch/routeplan"
+	"geraniumnotch.example/geraniumnotch/transport"
+)
+
+// runner runs calls of peers by a function.
+type runner func(ctx context.Context, c *call.Call) call.Result
+
+func (r runner) Run(ctx context.Context, c *call.Call) call.Result { return r(ctx, c) }
+
+// host is a directory with its listener.
+type host struct {
+	*peers.Directory
+	record  peers.Record
+	server  *http.Server
+	stop    context.CancelFunc
+	version atomic.Uint64
+	heard   chan uint64
+	plans   chan routeplan.Delta
+}
+
+func newHost(name string, incarnation int64, run runner) *host {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return newHostOn(l, name, incarnation, run)
+}
+
+func newHostOn(l net.Listener, name string, incarnation int64, run runner) *host {
+	h := &host{
+		record: peers.Record{Host: mesh.HostID(name), Address: l.Addr().String(), FailureDomain: "d", Incarnation: incarnation},
+		heard:  make(chan uint64, 1000), plans: make(chan routeplan.Delta, 10),
+	}
+	h.Directory = peers.New(peers.Config{
+		Self: h.record, Clock: boottime.Now, Local: run,
+		Report: func() peers.Status {
+			return peers.Status{PlanVersion: h.version.Load(), Endpoint: &peers.EndpointStatus{ID: "e", Service: "s", Slots: 3}}
+		},
+		Plan: func(have uint64) (routeplan.Delta, bool) {
+			return routeplan.Delta{Base: have, Version: h.version.Load()}, true
+		},
+		OfferPlan: func(d routeplan.Delta, _ mesh.HostID) { h.plans <- d },
+		HeardPlan: func(_ mesh.HostID, version uint64, _ time.Duration) {
+			select {
+			case h.heard <- version:
+			default:
+			}
+		},
+	})
+	mux := http.NewServeMux()
+	mux.Handle(transport.Path, h.Manager())
+	h.server = &http.Server{Handler: mux}
+	go func() { _ = h.server.Serve(l) }() // Ends in close.
+	var ctx context.Context
+	ctx, h.stop = context.WithCancel(context.Background())
+	go h.Run(ctx)
+	return h
+}
+
+func (h *host) close() {
+	h.stop()
+	h.Manager().Close()
+	_ = h.server.Close()
+}
+
+// waitFor waits until a state that other goroutines bring about is there.
+func waitFor(state func() bool) {
+	for end := time.Now().Add(10 * time.Second); !state(); {
+		if time.Now().After(end) {
+			panic("state not reached in 10 s")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (h *host) sees(n int) { waitFor(func() bool { return len(h.Offering("s")) == n }) }
+
+func echo(_ context.Context, c *call.Call) call.Result {
+	var body []byte
+	if c.Body != nil {
+		var err error
+		if body, err = io.ReadAll(c.Body); err != nil {
+			return call.Result{Fate: call.Broken, Reason: call.ReasonBodyMissing, Sent: true}
+		}
+	}
+	a := &call.Answer{Status: 200, Header: http.Header{"Id": {c.ID}}, Bytes: int64(len(body))}
+	if len(body) > 1000 {
+		a.Stream = io.NopCloser(bytes.NewReader(body))
+	} else {
+		a.Body = body
+	}
+	return call.Result{Fate: call.Answered, Sent: true, Answer: a, Load: call.Load{Running: 2}}
+}
+
+func newCall(body []byte) *call.Call {
+	c := &call.Call{ID: "1", Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Service: "s", Left: 5 * time.Second, TargetLeft: time.Second}
+	if body != nil {
+		c.Body, c.BodyBytes = call.BytesBody(body), int64(len(body))
+	}
+	return c
+}
+
+// Guards against hosts that find each other only in one direction, and against
+// bodies that are changed or stuck on their way.
+func TestCallsBetweenHosts(t *testing.T) {
+	Convey("a host that only the other one knows", t, func() {
+		a, b := newHost("a", 1, echo), newHost("b", 2, echo)
+		defer a.close()
+		defer b.close()
+		b.Learn(a.record)
+		a.sees(1)
+		b.sees(1)
+		for _, size := range []int{0, 10, 3000, 20_000, 2_000_000} {
+			body := bytes.Repeat([]byte("x"), size)
+			r := a.Offering("s")[0].Run(context.Background(), newCall(body))
+			So(r.Fate, ShouldEqual, call.Answered)
+			So(r.Load.Running, ShouldEqual, 2)
+			got := r.Answer.Body
+			if r.Answer.Stream != nil {
+				var err error
+				got, err = io.ReadAll(r.Answer.Stream)
+				So(err, ShouldBeNil)
+				r.Answer.Close()
+			}
+			So(bytes.Equal(got, body), ShouldBeTrue)
+		}
+	})
+}
+
+// Guards against an answer that looks whole after its source broke off, and
+// against calls whose fate is reported wrongly when a link ends.
+func TestBrokenCalls(t *testing.T) {
+	Convey("two hosts", t, func() {
+		started := make(chan struct{}, 10)
+		ended := make(chan struct{}, 10)
+		waits := func(ctx context.Context, _ *call.Call) call.Result {
+			started <- struct{}{}
+			<-ctx.Done()
+			ended <- struct{}{}
+			return call.Result{Fate: call.Expired, Sent: true}
+		}
+		Convey("a body that breaks off at its source", func() {
+			breaks := func(context.Context, *call.Call) call.Result {
+				r, w := io.Pipe()
+				go func() {
+					_, _ = w.Write(make([]byte, 100_000)) // The reader sees the error that follows.
+					_ = w.CloseWithError(errors.New("endpoint broke off"))
+				}()
+				return call.Result{Fate: call.Answered, Answer: &call.Answer{Status: 200, Bytes: 200_000, Stream: r}}
+			}
+			a, b := newHost("a", 1, echo), newHost("b", 2, breaks)
+			defer a.close()
+			defer b.close()
+			a.Learn(b.record)
+			a.sees(1)
+			r := a.Offering("s")[0].Run(context.Background(), newCall(nil))
+			_, err := io.ReadAll(r.Answer.Stream)
+			So(err, ShouldNotBeNil)
+			r.Answer.Close()
+		})
+		Convey("the caller gives up", func() {
+			a, b := newHost("a", 1, echo), newHost("b", 2, waits)
+			defer a.close()
+			defer b.close()
+			a.Learn(b.record)
+			a.sees(1)
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() {
+				<-started
+				cancel()
+			}()
+			So(a.Offering("s")[0].Run(ctx, newCall(nil)).Fate, ShouldEqual, call.Expired)
+			<-ended
+		})
+		Convey("the link ends", func() {
+			a, b := newHost("a", 1, echo), newHost("b", 2, waits)
+			defer a.close()
+			defer b.close()
+			a.Learn(b.record)
+			a.sees(1)
+			go func() {
+				<-started
+				b.Reset()
+			}()
+			r := a.Offering("s")[0].Run(context.Background(), newCall(nil))
+			So(r.Fate, ShouldEqual, call.Broken)
+			So(r.Sent, ShouldBeTrue)
+			<-ended
+			a.sees(1)
+		})
+	})
+}
+
+// Guards against a record of a former host whose dials replace the link to the
+// present one.
+func TestAddressThatAnotherHostHasNow(t *testing.T) {
+	Convey("a later host at the address of an earlier one", t, func() {
+		a := newHost("a", 1, echo)
+		defer a.close()
+		b := newHost("b", 5, echo)
+		defer b.close()
+		former := peers.Record{Host: "former", Address: b.record.Address, FailureDomain: "d", Incarnation: 3}
+		a.Learn(former, b.record)
+		a.sees(1)
+		link := a.Manager().Link("b")
+		a.Learn(former)
+		for range 5 {
+			// Reports come at the pace at which due dials are made.
+			<-a.heard
+		}
+		So(a.Manager().Link("b"), ShouldEqual, link)
+		So(a.Offering("s"), ShouldHaveLength, 1)
+	})
+}
+
+// Guards against a host that stays on its plan when its reads of the store fail.
+func TestPlansOfPeers(t *testing.T) {
+	Convey("a peer is asked for its plan", t, func() {
+		a, b := newHost("a", 1, echo), newHost("b", 2, echo)
+		defer a.close()
+		defer b.close()
+		a.Learn(b.record)
+		a.sees(1)
+		b.version.Store(7)
+		b.Changed()
+		for v := range a.heard {
+			if v == 7 {
+				break
+			}
+		}
+		So(a.AskPlan("b", 4), ShouldBeNil)
+		d := <-a.plans
+		So(d.Base, ShouldEqual, 4)
+		So(d.Version, ShouldEqual, 7)
+		So(a.AskPlan("unknown", 4), ShouldNotBeNil)
+	})
+}
