The host with the widest link reads the plan

Cause: on the grown site the reading host had a link of 7 Mbit/s; a plan of 350 KB took it 2.7 s, beyond the timeout of a call (CONFIG). Change: records carry the link's bandwidth, which orders the hosts; reads of plans have 3 s.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -111,6 +111,7 @@
 name = %s
 failure-domain = d
 memory-mb = 200
+link-mbps = 1000
 [endpoint]
 service = %s
 address = %s
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -20,6 +20,9 @@
 	// callTimeout bounds a call to the store, which answers in milliseconds when
 	// it is well and in a quarter of a second when it is slow.
 	callTimeout = time.Second
+	// planReadTimeout bounds a read that may bring a plan of some hundred kilobytes
+	// over a narrow link. Other hosts read meanwhile.
+	planReadTimeout = 3 * time.Second
 	// planTick is how often the host looks whether a read is due.
 	planTick = 50 * time.Millisecond
 )
@@ -158,7 +161,7 @@
 // read fetches the newest plan if the store has another one than this host read
 // last.
 func (k *planKeeper) read(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, planReadTimeout)
 	defer cancel()
 	began := boottime.Now()
 	item, changed, err := k.store.Changed(ctx, platform.ConfigKey, k.revision)
--- a/hostnode/settings.go
+++ b/hostnode/settings.go
@@ -20,8 +20,10 @@
 	FailureDomain mesh.FailureDomain
 	Endpoint      hosted.Identity
 	MemoryMB      int
-	Listen        Listen
-	StoreAddress  string
+	// LinkMbps is the bandwidth of the host's link in Mbit/s.
+	LinkMbps     float64
+	Listen       Listen
+	StoreAddress string
 	// Drain bounds the time from a stop signal to the end of the process.
 	Drain time.Duration
 	// PlanDeadline is the time within which a new plan must be in force.
@@ -66,6 +68,7 @@
 		Host:          mesh.HostID(p.text("host", "name")),
 		FailureDomain: mesh.FailureDomain(p.text("host", "failure-domain")),
 		MemoryMB:      p.number("host", "memory-mb", 16, 1<<20),
+		LinkMbps:      p.fraction("host", "link-mbps"),
 		Listen: Listen{
 			Calls: p.address("listen", "calls"), Peers: p.address("listen", "peers"), Ready: p.address("listen", "ready"),
 			Announcements: p.address("listen", "announcements"), Metrics: p.address("listen", "metrics"),
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -69,7 +69,7 @@
 
 // Peer is another host. Its atomics are read by each placement.
 type Peer struct {
-	record Record
+	record atomic.Pointer[Record]
 	// status is nil until the peer has reported.
 	status atomic.Pointer[Status]
 	mux    atomic.Pointer[hop.Mux]
@@ -178,12 +178,18 @@
 		return nil
 	}
 	p := d.peers[r.Host]
-	if p != nil && p.record.Incarnation >= r.Incarnation {
+	if p != nil && (p.record.Load().Incarnation >= r.Incarnation || p.mux.Load() != nil) {
 		return p
 	}
 	if d.superseded(r) {
 		return nil
 	}
+	return d.put(r)
+}
+
+// put takes a record over.
+func (d *Directory) put(r Record) *Peer {
+	p := d.peers[r.Host]
 	now := time.Now()
 	if p == nil {
 		p = &Peer{learned: now, lastUp: now, pause: redialLeast}
@@ -194,30 +200,45 @@
 	} else {
 		p.nextTry, p.pause = now, redialLeast
 	}
-	p.record = r
+	p.record.Store(&r)
 	return p
 }
 
-// superseded reports whether a later host has the address of the record. Records
-// that the new one supersedes are forgotten; a dial of them would reach the new
-// host and replace the link to it.
+// superseded reports whether another host has the address of the record: one that
+// is linked, or a later one. Records that the new one supersedes are forgotten; a
+// dial of them would reach the new host and replace the link to it.
 func (d *Directory) superseded(r Record) bool {
 	if r.Address == d.config.Self.Address {
 		return true
 	}
 	for id, p := range d.peers {
-		if id == r.Host || p.record.Address != r.Address {
+		if id == r.Host || p.record.Load().Address != r.Address {
 			continue
 		}
-		if p.record.Incarnation > r.Incarnation {
+		if p.mux.Load() != nil || p.record.Load().Incarnation > r.Incarnation {
 			return true
 		}
-		delete(d.peers, id)
-		eventPeerGone.Log(d.config.Logger, "host", id, "address_of", r.Host)
+		d.forget(id, r)
 	}
 	return false
 }
 
+func (d *Directory) forget(id mesh.HostID, successor Record) {
+	delete(d.peers, id)
+	eventPeerGone.Log(d.config.Logger, "host", id, "address_of", successor.Host)
+}
+
+// introduce takes the record that a host reports of itself over its link. It
+// replaces all that the store said, because times of day differ between hosts.
+func (d *Directory) introduce(r Record) *Peer {
+	for id, p := range d.peers {
+		if id != r.Host && p.record.Load().Address == r.Address {
+			d.forget(id, r)
+		}
+	}
+	return d.put(r)
+}
+
 func (d *Directory) report() {
 	links := d.manager.Links()
 	if len(links) == 0 {
@@ -259,7 +280,7 @@
 			continue
 		}
 		p.dialing = true
-		go d.dial(ctx, p, p.record.Address)
+		go d.dial(ctx, p, p.record.Load().Address)
 	}
 }
 
@@ -352,7 +373,7 @@
 	defer d.mu.Unlock()
 	p := d.peers[l.Peer()]
 	if s.Record != nil && s.Record.Host == l.Peer() {
-		p = d.learn(*s.Record)
+		p = d.introduce(*s.Record)
 	}
 	if p == nil || d.manager.Link(l.Peer()) != l {
 		// A report of a link that another one has replaced must not bring its
@@ -371,11 +392,11 @@
 		d.rebuild()
 		d.logNews(p, &s)
 	}
-	d.config.HeardPlan(p.record.Host, s.PlanVersion, s.PlanAge)
+	d.config.HeardPlan(p.record.Load().Host, s.PlanVersion, s.PlanAge)
 }
 
 func (d *Directory) logNews(p *Peer, s *Status) {
-	args := []any{"host", p.record.Host, "leaving", s.Leaving, "plan", s.PlanVersion}
+	args := []any{"host", p.record.Load().Host, "leaving", s.Leaving, "plan", s.PlanVersion}
 	if e := s.Endpoint; e != nil {
 		args = append(args, "endpoint", e.ID, "service", e.Service, "slots", e.Slots)
 	}
@@ -399,13 +420,14 @@
 	return l.Send(transport.KindPlanRequest, planRequest{Have: have})
 }
 
-// Rank returns the number of reachable hosts with a lower ID than this one.
+// Rank returns the number of reachable hosts that come before this one where one
+// host acts for all.
 func (d *Directory) Rank() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	rank := 0
-	for id, p := range d.peers {
-		if id < d.config.Self.Host && p.mux.Load() != nil {
+	for _, p := range d.peers {
+		if p.mux.Load() != nil && p.record.Load().before(d.config.Self) {
 			rank++
 		}
 	}
@@ -434,10 +456,10 @@
 func (d *Directory) Offering(service mesh.ServiceName) []*Peer { return (*d.index.Load())[service] }
 
 // Host returns the peer's ID.
-func (p *Peer) Host() mesh.HostID { return p.record.Host }
+func (p *Peer) Host() mesh.HostID { return p.record.Load().Host }
 
 // FailureDomain returns where the peer is.
-func (p *Peer) FailureDomain() mesh.FailureDomain { return p.record.FailureDomain }
+func (p *Peer) FailureDomain() mesh.FailureDomain { return p.record.Load().FailureDomain }
 
 // Endpoint returns the latest report of the peer's endpoint, or nil.
 func (p *Peer) Endpoint() *EndpointStatus {
--- a/peers/types.go
+++ b/peers/types.go
@@ -20,6 +20,17 @@
 	// Incarnation is the time of day at which the process started, in
 	// nanoseconds. A later record of a host replaces an earlier one.
 	Incarnation int64 `cbor:"4,keyasint"`
+	// LinkMbps is the bandwidth of the host's link. Hosts with the widest links
+	// come first where one host acts for all.
+	LinkMbps float64 `cbor:"5,keyasint"`
+}
+
+// before reports whether a host comes before another one where one acts for all.
+func (r Record) before(o Record) bool {
+	if r.LinkMbps != o.LinkMbps {
+		return r.LinkMbps > o.LinkMbps
+	}
+	return r.Host < o.Host
 }
 
 // EncodeRecord returns the store's form of a record.
