Reads of the plan are told by stamps in place of ages

Change: a read has a stamp of its reader; only a stamp that is heard of for the first time confirms. A test plays reports that are under way for 0.7 s while the reading host dies.

--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -54,6 +54,18 @@
 	AskPeer
 )
 
+// Stamp identifies a read of the store that showed which version is the newest.
+// Hosts pass stamps on. A stamp counts when it is first heard of: ages that are
+// passed on would lose the time that reports are under way, and hosts that hear
+// of their own reports would hold them for news.
+type Stamp struct {
+	_ struct{} `cbor:",toarray"`
+	// Reader names the host that read and its incarnation.
+	Reader string
+	// Number counts the reads of the reader.
+	Number uint64
+}
+
 // Tracker follows how current the plan of a host is. It is safe for concurrent
 // use.
 type Tracker struct {
@@ -61,9 +73,13 @@
 
 	mu      sync.Mutex
 	version uint64
-	// confirmed is the latest time at which the version was known to be the
-	// newest.
+	// confirmed is when the latest news came that the version is the newest, by
+	// the read with the stamp latest.
 	confirmed boottime.Time
+	latest    Stamp
+	// numbers holds the highest number heard of each reader.
+	numbers map[string]uint64
+	self    string
 	// wanted is the newest version heard of, from the host source.
 	wanted    uint64
 	source    mesh.HostID
@@ -73,9 +89,11 @@
 	failures  int
 }
 
-// New returns a tracker without a plan. Deadline is the time within which a new
-// plan must be in force.
-func New(deadline time.Duration) *Tracker { return &Tracker{deadline: deadline} }
+// New returns a tracker without a plan. Self names the host and its incarnation;
+// deadline is the time within which a new plan must be in force.
+func New(self string, deadline time.Duration) *Tracker {
+	return &Tracker{self: self, deadline: deadline, numbers: map[string]uint64{}}
+}
 
 func (t *Tracker) part(share float64) time.Duration {
 	return time.Duration(share * float64(t.deadline))
@@ -88,6 +106,7 @@
 	if version > t.version {
 		t.version = version
 		t.asked = false
+		t.latest = Stamp{}
 	}
 }
 
@@ -98,6 +117,8 @@
 	defer t.mu.Unlock()
 	t.failures, t.notBefore = 0, 0
 	t.confirmed = max(t.confirmed, began)
+	t.numbers[t.self]++
+	t.latest = Stamp{Reader: t.self, Number: t.numbers[t.self]}
 	if t.wanted <= t.version {
 		return
 	}
@@ -121,24 +142,28 @@
 	t.failures = max(t.failures, 1)
 }
 
-// Heard notes the report of a peer: its version, and how long ago that was known
-// to be the newest.
-func (t *Tracker) Heard(from mesh.HostID, version uint64, age time.Duration, now boottime.Time) {
+// Heard notes the report of a peer: its version, and the latest read that it
+// knows to have shown that version.
+func (t *Tracker) Heard(from mesh.HostID, version uint64, stamp Stamp, now boottime.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
 	case version == t.version && version != 0:
-		t.confirmed = max(t.confirmed, now-age)
+		if stamp.Number > t.numbers[stamp.Reader] {
+			t.numbers[stamp.Reader] = stamp.Number
+			t.latest, t.confirmed = stamp, now
+		}
 	case version > t.version && version > t.wanted:
 		t.wanted, t.source = version, from
 	}
 }
 
-// Age returns how long ago the version in force was known to be the newest.
-func (t *Tracker) Age(now boottime.Time) time.Duration {
+// Latest returns the stamp of the latest read that is known to have shown the
+// version in force.
+func (t *Tracker) Latest() Stamp {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return now - t.confirmed
+	return t.latest
 }
 
 // Next returns what is due. Rank is the number of reachable hosts that come
--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -22,6 +22,31 @@
 	reads   int
 	refuses func(host int) bool
 	cut     func(a, b int) bool
+	// delay is how long reports are under way.
+	delay   time.Duration
+	pending []report
+}
+
+// report is under way until due.
+type report struct {
+	due     time.Duration
+	to      *host
+	from    mesh.HostID
+	version uint64
+	stamp   freshness.Stamp
+}
+
+// deliver hands over the reports that are due.
+func (s *simulation) deliver() {
+	late := s.pending[:0]
+	for _, r := range s.pending {
+		if r.due <= s.now {
+			r.to.tracker.Heard(r.from, r.version, r.stamp, s.now)
+		} else {
+			late = append(late, r)
+		}
+	}
+	s.pending = late
 }
 
 type host struct {
@@ -35,7 +60,7 @@
 	s := &simulation{version: 1, refuses: func(int) bool { return false }, cut: func(int, int) bool { return false }}
 	for i := range hosts {
 		s.hosts = append(s.hosts, &host{
-			id: mesh.HostID(fmt.Sprintf("host-%03d", i)), tracker: freshness.New(deadline), since: map[uint64]time.Duration{},
+			id: mesh.HostID(fmt.Sprintf("host-%03d", i)), tracker: freshness.New(fmt.Sprint(i), deadline), since: map[uint64]time.Duration{},
 		})
 	}
 	return s
@@ -53,7 +78,7 @@
 	h := s.hosts[from]
 	for i, other := range s.hosts {
 		if i != from && !s.cut(from, i) {
-			other.tracker.Heard(h.id, h.version, h.tracker.Age(s.now), s.now)
+			s.pending = append(s.pending, report{s.now + s.delay, other, h.id, h.version, h.tracker.Latest()})
 		}
 	}
 }
@@ -71,6 +96,7 @@
 func (s *simulation) step() {
 	const tick = 50 * time.Millisecond
 	s.now += tick
+	s.deliver()
 	for i, h := range s.hosts {
 		switch action, from := h.tracker.Next(s.now, s.rank(i)); action {
 		case freshness.ReadStore:
@@ -157,6 +183,17 @@
 		s.cut = func(a, b int) bool { return a != b && (a == 0 || b == 0) }
 		So(s.spread(everyone), ShouldBeLessThan, deadline)
 	})
+	Convey("reports are under way for 0.7 s, and the reading host dies", t, func() {
+		s := newSimulation(11)
+		s.run(5 * time.Second)
+		s.delay = 700 * time.Millisecond
+		s.run(5 * time.Second)
+		s.cut = func(a, b int) bool { return a != b && (a == 0 || b == 0) }
+		s.refuses = func(i int) bool { return i == 0 }
+		s.run(3 * time.Second)
+		// The delay comes on top, once to learn of the version and once to get it.
+		So(s.spread(func(i int) bool { return i != 0 }), ShouldBeLessThan, deadline+2*s.delay)
+	})
 	Convey("a domain is cut off and reads for itself", t, func() {
 		s := newSimulation(12)
 		s.run(5 * time.Second)
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -86,7 +87,7 @@
 	n := &Node{path: path, logger: logger, metrics: registry, started: time.Now(), store: platform.OpenStore(s.StoreAddress)}
 	n.settings.Store(s)
 	n.keeper = &planKeeper{
-		store: n.store, current: &n.plan, logger: logger, fresh: freshness.New(s.PlanDeadline),
+		store: n.store, current: &n.plan, logger: logger, fresh: freshness.New(fmt.Sprint(s.Host, "/", n.started.UnixNano()), s.PlanDeadline),
 		rank:     func() int { return n.directory.Rank() },
 		ask:      func(host mesh.HostID, have uint64) error { return n.directory.AskPlan(host, have) },
 		accepted: func(p *routeplan.Plan) { n.entry.PlanChanged(p) },
@@ -99,8 +100,8 @@
 	n.directory = peers.New(peers.Config{
 		Self: record, Logger: logger, Clock: boottime.Now, Local: gate,
 		Report: n.report, Plan: n.keeper.difference, OfferPlan: n.keeper.offerFromPeer,
-		HeardPlan: func(from mesh.HostID, version uint64, age time.Duration) {
-			n.keeper.fresh.Heard(from, version, age, boottime.Now())
+		HeardPlan: func(from mesh.HostID, version uint64, read freshness.Stamp) {
+			n.keeper.fresh.Heard(from, version, read, boottime.Now())
 		},
 	})
 	n.registrar = &registrar{
@@ -120,7 +121,7 @@
 
 // report is the host's status for its peers.
 func (n *Node) report() peers.Status {
-	s := peers.Status{PlanVersion: n.keeper.version(), PlanAge: n.keeper.fresh.Age(boottime.Now()), Leaving: n.stopping.Load()}
+	s := peers.Status{PlanVersion: n.keeper.version(), PlanRead: n.keeper.fresh.Latest(), Leaving: n.stopping.Load()}
 	if e := n.registration.Current(); e != nil && !e.Leaving {
 		load, now := e.Queue.Load(), boottime.Now()
 		s.Endpoint = &peers.EndpointStatus{
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -12,6 +12,7 @@
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
 	"geraniumnotch.example/geraniumnotch/events"
+	"geraniumnotch.example/geraniumnotch/freshness"
 	"geraniumnotch.example/geraniumnotch/hop"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/routeplan"
@@ -62,9 +63,9 @@
 	Plan func(have uint64) (routeplan.Delta, bool)
 	// OfferPlan is called with the plan of a peer.
 	OfferPlan func(plan routeplan.Delta, from mesh.HostID)
-	// HeardPlan is called with the version that a peer reports and how long ago
-	// it was known to be the newest.
-	HeardPlan func(from mesh.HostID, version uint64, age time.Duration)
+	// HeardPlan is called with the version that a peer reports and the latest
+	// read that it knows to have shown it.
+	HeardPlan func(from mesh.HostID, version uint64, read freshness.Stamp)
 }
 
 // Peer is another host. Its atomics are read by each placement.
@@ -392,7 +393,7 @@
 		d.rebuild()
 		d.logNews(p, &s)
 	}
-	d.config.HeardPlan(p.record.Load().Host, s.PlanVersion, s.PlanAge)
+	d.config.HeardPlan(p.record.Load().Host, s.PlanVersion, s.PlanRead)
 }
 
 func (d *Directory) logNews(p *Peer, s *Status) {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -15,6 +15,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/freshness"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/peers"
 	"geraniumnotch.example/geraniumnotch/routeplan"
@@ -59,7 +60,7 @@
 			return routeplan.Delta{Base: have, Version: h.version.Load()}, true
 		},
 		OfferPlan: func(d routeplan.Delta, _ mesh.HostID) { h.plans <- d },
-		HeardPlan: func(_ mesh.HostID, version uint64, _ time.Duration) {
+		HeardPlan: func(_ mesh.HostID, version uint64, _ freshness.Stamp) {
 			select {
 			case h.heard <- version:
 			default:
--- a/peers/types.go
+++ b/peers/types.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"geraniumnotch.example/geraniumnotch/freshness"
 	"geraniumnotch.example/geraniumnotch/mesh"
 )
 
@@ -62,8 +63,8 @@
 	// Record is left out of all reports on a link but the first.
 	Record      *Record `cbor:"1,keyasint,omitempty"`
 	PlanVersion uint64  `cbor:"2,keyasint,omitempty"`
-	// PlanAge is how long ago the version was known to be the newest.
-	PlanAge time.Duration `cbor:"5,keyasint,omitempty"`
+	// PlanRead is the latest read known to have shown that version.
+	PlanRead freshness.Stamp `cbor:"5,keyasint"`
 	// Leaving is set once the host's process has begun to stop.
 	Leaving bool `cbor:"3,keyasint,omitempty"`
 	// Endpoint is nil while the host has none that takes calls.
