--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -97,7 +97,7 @@
 }
 
 func (h *siteHost) start() {
-	n, err := New(h.path(), hclog.NewNullLogger())
+	n, err := New(h.path(), hclog.NewNullLogger(), func() int64 { return 0 })
 	if err != nil {
 		panic(err)
 	}
--- a/hostnode/main.go
+++ b/hostnode/main.go
@@ -70,7 +70,7 @@
 	logger := hclog.New(&hclog.LoggerOptions{
 		Name: "geraniumnotch-host", Level: hclog.LevelFromString(level), JSONFormat: true, Output: lines,
 	})
-	n, err := New(path, logger)
+	n, err := New(path, logger, lines.Dropped)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitUsage
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -71,7 +71,8 @@
 }
 
 // New assembles a node with the settings of a file. It starts nothing.
-func New(path string, logger hclog.Logger) (*Node, error) {
+// DroppedLines returns the number of log lines that were dropped.
+func New(path string, logger hclog.Logger, droppedLines func() int64) (*Node, error) {
 	s, err := LoadSettings(path)
 	if err != nil {
 		return nil, err
@@ -80,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	watch, err := newObserver(logger, registry.Meter())
+	watch, err := newObserver(logger, registry.Meter(), droppedLines)
 	if err != nil {
 		return nil, err
 	}
--- a/hostnode/observe.go
+++ b/hostnode/observe.go
@@ -38,19 +38,24 @@
 // latencyBounds are the histogram's bounds in seconds, around the usual targets.
 var latencyBounds = metric.WithExplicitBucketBoundaries(0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 3, 6)
 
-func newObserver(logger hclog.Logger, meter metric.Meter) (*observer, error) {
+func newObserver(logger hclog.Logger, meter metric.Meter, droppedLines func() int64) (*observer, error) {
 	o := &observer{
 		logger:   logger,
 		finished: rate.NewLimiter(finishedPerSecond, finishedPerSecond),
 		failed:   rate.NewLimiter(failedPerSecond, failedPerSecond),
 		attempts: rate.NewLimiter(attemptsPerSecond, attemptsPerSecond),
 	}
-	var errs [5]error
+	var errs [6]error
 	o.calls, errs[0] = meter.Int64Counter("host_calls", metric.WithDescription("calls of clients and of the endpoint by status and reason"))
 	o.duration, errs[1] = meter.Float64Histogram("host_call_seconds", latencyBounds, metric.WithDescription("time from the head of a request to its answer"))
 	o.tries, errs[2] = meter.Int64Counter("host_attempts", metric.WithDescription("attempts at the endpoint of the host by fate and reason"))
 	o.queueTime, errs[3] = meter.Float64Histogram("host_queue_seconds", latencyBounds, metric.WithDescription("time that attempts waited for a slot"))
 	o.suppressed, errs[4] = meter.Int64Counter("host_log_lines_suppressed", metric.WithDescription("lines about calls beyond their rate"))
+	_, errs[5] = meter.Int64ObservableCounter("host_log_lines_dropped", metric.WithDescription("lines that found the queue for standard output full"),
+		metric.WithInt64Callback(func(_ context.Context, counter metric.Int64Observer) error {
+			counter.Observe(droppedLines())
+			return nil
+		}))
 	return o, errors.Join(errs[:]...)
 }
 
