--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,11 +25,13 @@
 	failureCost = 8
 	// otherDomain is the factor on the expected time in another domain.
 	otherDomain = 1.4
+	// idleCost weighs run times against used slots among endpoints with room.
+	idleCost = 0.3
 	// jitter spreads the choices of hosts that see the same loads.
 	jitter = 0.15
 	// targetMargin is how many mean run times must fit into what is left of the
 	// target for an endpoint to be preferred.
-	targetMargin = 1.7
+	targetMargin = 1.9
 	// defaultRun stands for a mean run time that is not known yet.
 	defaultRun = 50 * time.Millisecond
 	// coldFactor is the slowness of an endpoint that has just started.
@@ -104,12 +106,12 @@
 		targetMargin*c.run(typical) < float64(max(targetLeft, 0))
 }
 
-// cost is the expected time to the answer. Among endpoints with room the share
-// of used slots decides, since their answers meet the target anyway.
+// cost is the expected time to the answer. Among endpoints with room it grows
+// with the share of used slots, so that fast ones take more calls but not all.
 func (c *Candidate) cost(typical time.Duration, near bool) float64 {
 	used := float64(c.Occupied+1) / float64(c.Slots)
 	if near {
-		return used
+		return c.run(typical) * (idleCost + used)
 	}
 	cost := c.run(typical) * max(1, used) * (1 + used/10) * (1 + failureCost*c.FailShare)
 	if !c.SameDomain {
