--- /dev/null
+++ b/hop/bodies.go
@@ -0,0 +1,70 @@
+package hop
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// bodyQueueTime bounds the time that request bodies of other hosts may occupy
+	// this host's link ahead of anything else. Reports of a host are missed after
+	// 1.5 s.
+	bodyQueueTime = 250 * time.Millisecond
+	bitsPerByte   = 8
+)
+
+// Bodies bounds the request bodies that a host receives at the same time by the
+// bandwidth of its link. It answers a flood of long bodies on a narrow link, which
+// would hold up the calls and reports of all other hosts. The links of a host
+// share one value.
+type Bodies struct{ permits chan struct{} }
+
+// NewBodies returns the bound for a link of the given bandwidth in Mbit/s. Zero
+// stands for an unknown bandwidth and bounds nothing.
+func NewBodies(linkMbps float64) *Bodies {
+	if linkMbps <= 0 {
+		return &Bodies{}
+	}
+	bytes := linkMbps * 1e6 / bitsPerByte * bodyQueueTime.Seconds()
+	return &Bodies{permits: make(chan struct{}, max(1, int(bytes/windowBytes)))}
+}
+
+// permit is the right of one call to receive its body.
+type permit struct {
+	bodies *Bodies
+	mu     sync.Mutex
+	held   bool
+	over   bool
+}
+
+// acquire waits for the permit. It reports false when ended is closed first or
+// the permit was released before.
+func (p *permit) acquire(ended <-chan struct{}) bool {
+	if p.bodies.permits == nil {
+		return true
+	}
+	select {
+	case p.bodies.permits <- struct{}{}:
+	case <-ended:
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over {
+		<-p.bodies.permits
+		return false
+	}
+	p.held = true
+	return true
+}
+
+// release ends the permit. It may be called more than once.
+func (p *permit) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.over = true
+	if p.held {
+		p.held = false
+		<-p.bodies.permits
+	}
+}
--- a/hop/mux.go
+++ b/hop/mux.go
@@ -19,6 +19,8 @@
 	link  *transport.Link
 	local call.Runner
 	clock boottime.Clock
+	// bodies bounds the request bodies of peers.
+	bodies *Bodies
 
 	next atomic.Uint64
 
@@ -45,12 +47,13 @@
 	cancel context.CancelFunc
 	body   *pipe
 	flow   *flow
+	permit permit
 }
 
 // NewMux returns the calls of a link. Calls of the peer are run by local.
-func NewMux(link *transport.Link, local call.Runner, clock boottime.Clock) *Mux {
+func NewMux(link *transport.Link, local call.Runner, clock boottime.Clock, bodies *Bodies) *Mux {
 	return &Mux{
-		link: link, local: local, clock: clock,
+		link: link, local: local, clock: clock, bodies: bodies,
 		outgoing: map[uint64]*outgoing{}, incoming: map[uint64]*incoming{},
 	}
 }
@@ -200,6 +203,7 @@
 func (in *incoming) stop(err error) {
 	in.cancel()
 	in.flow.close()
+	in.permit.release()
 	if in.body != nil {
 		in.body.finish(err)
 	}
@@ -247,12 +251,12 @@
 	c.Left -= late
 	c.TargetLeft -= late
 	ctx, cancel := context.WithCancel(context.Background())
-	in := &incoming{cancel: cancel, flow: newFlow(windowBytes)}
+	in := &incoming{cancel: cancel, flow: newFlow(windowBytes), permit: permit{bodies: m.bodies}}
 	if f.More {
 		in.body = newPipe(func(n int) {
 			_ = m.send(transport.KindCallCredit, creditFrame{Stream: f.Stream, Bytes: n}) // A lost link ends the stream.
 		})
-		c.Body = &remoteBody{pipe: in.body}
+		c.Body = &remoteBody{in: in, ended: ctx.Done()}
 	} else if f.HasBody {
 		c.Body = call.BytesBody(f.Body)
 	}
@@ -271,16 +275,22 @@
 // remoteBody asks for the body only when it is first read, which is when the
 // call has got a slot.
 type remoteBody struct {
-	pipe  *pipe
+	in *incoming
+	// ended is closed when the call has ended.
+	ended <-chan struct{}
 	begun bool
 }
 
+// Read returns the next bytes. It waits for the other host.
 func (b *remoteBody) Read(p []byte) (int, error) {
 	if !b.begun {
 		b.begun = true
-		b.pipe.credit(windowBytes)
+		if !b.in.permit.acquire(b.ended) {
+			return 0, ErrBodyBroken
+		}
+		b.in.body.credit(windowBytes)
 	}
-	return b.pipe.Read(p)
+	return b.in.body.Read(p)
 }
 
 // Rewind reports whether nothing was read yet.
@@ -333,10 +343,13 @@
 	if err := msg.Decode(&f); err != nil {
 		return err
 	}
-	p := m.pipeOf(msg.Kind, f.Stream)
+	p, in := m.pipeOf(msg.Kind, f.Stream)
 	if p == nil {
 		return nil
 	}
+	if in != nil && (f.End || f.Broken) {
+		in.permit.release()
+	}
 	p.add(f.Data)
 	switch {
 	case f.Broken:
@@ -347,19 +360,21 @@
 	return nil
 }
 
-func (m *Mux) pipeOf(kind transport.Kind, stream uint64) *pipe {
+// pipeOf returns the body that a frame belongs to, with the call for the body of
+// a request.
+func (m *Mux) pipeOf(kind transport.Kind, stream uint64) (*pipe, *incoming) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if kind == transport.KindAnswerData {
 		if o := m.outgoing[stream]; o != nil {
-			return o.answer
+			return o.answer, nil
 		}
-		return nil
+		return nil, nil
 	}
 	if in := m.incoming[stream]; in != nil {
-		return in.body
+		return in.body, in
 	}
-	return nil
+	return nil, nil
 }
 
 func (m *Mux) onCredit(msg transport.Message) error {
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -90,6 +90,7 @@
 type Directory struct {
 	config  Config
 	manager *transport.Manager
+	bodies  *hop.Bodies
 
 	mu    sync.Mutex
 	peers map[mesh.HostID]*Peer
@@ -104,7 +105,7 @@
 
 // New returns a directory that knows only this host.
 func New(config Config) *Directory {
-	d := &Directory{config: config, peers: map[mesh.HostID]*Peer{}, muxes: map[*transport.Link]*hop.Mux{}, kick: make(chan struct{}, 1)}
+	d := &Directory{config: config, bodies: hop.NewBodies(config.Self.LinkMbps), peers: map[mesh.HostID]*Peer{}, muxes: map[*transport.Link]*hop.Mux{}, kick: make(chan struct{}, 1)}
 	d.index.Store(&map[mesh.ServiceName][]*Peer{})
 	d.hosts.Store(1)
 	d.manager = transport.NewManager(transport.Config{
@@ -299,7 +300,7 @@
 }
 
 func (d *Directory) up(l *transport.Link) {
-	mux := hop.NewMux(l, d.config.Local, d.config.Clock)
+	mux := hop.NewMux(l, d.config.Local, d.config.Clock, d.bodies)
 	d.mu.Lock()
 	d.muxes[l] = mux
 	if p := d.peers[l.Peer()]; p != nil {
