entrance, peers: split the largest files by duty

Change: bodies, answers, host records and links have files of their own; nothing else. Conclusion: no behaviour changes.

--- a/peers/directory.go
+++ b/peers/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -166,81 +165,6 @@
 	}
 }
 
-// Learn adds hosts that the store or a peer named.
-func (d *Directory) Learn(records ...Record) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, r := range records {
-		d.learn(r)
-	}
-}
-
-func (d *Directory) learn(r Record) *Peer {
-	if r.Host == d.config.Self.Host || r.Host == "" || r.Address == "" {
-		return nil
-	}
-	p := d.peers[r.Host]
-	if p != nil && (p.record.Load().Incarnation >= r.Incarnation || p.mux.Load() != nil) {
-		return p
-	}
-	if d.superseded(r) {
-		return nil
-	}
-	return d.put(r)
-}
-
-// put takes a record over.
-func (d *Directory) put(r Record) *Peer {
-	p := d.peers[r.Host]
-	now := time.Now()
-	if p == nil {
-		p = &Peer{learned: now, lastUp: now, pause: redialLeast}
-		if d.config.Self.Host > r.Host {
-			p.nextTry = now.Add(yieldTime)
-		}
-		d.peers[r.Host] = p
-	} else {
-		p.nextTry, p.pause = now, redialLeast
-	}
-	p.record.Store(&r)
-	return p
-}
-
-// superseded reports whether another host has the address of the record: one that
-// is linked, or a later one. Records that the new one supersedes are forgotten; a
-// dial of them would reach the new host and replace the link to it.
-func (d *Directory) superseded(r Record) bool {
-	if r.Address == d.config.Self.Address {
-		return true
-	}
-	for id, p := range d.peers {
-		if id == r.Host || p.record.Load().Address != r.Address {
-			continue
-		}
-		if p.mux.Load() != nil || p.record.Load().Incarnation > r.Incarnation {
-			return true
-		}
-		d.forget(id, r)
-	}
-	return false
-}
-
-func (d *Directory) forget(id mesh.HostID, successor Record) {
-	delete(d.peers, id)
-	eventPeerGone.Log(d.config.Logger, "host", id, "address_of", successor.Host)
-}
-
-// introduce takes the record that a host reports of itself over its link. It
-// replaces all that the store said, because times of day differ between hosts.
-func (d *Directory) introduce(r Record) *Peer {
-	for id, p := range d.peers {
-		if id != r.Host && p.record.Load().Address == r.Address {
-			d.forget(id, r)
-		}
-	}
-	return d.put(r)
-}
-
 func (d *Directory) report() {
 	links := d.manager.Links()
 	if len(links) == 0 {
@@ -258,77 +182,6 @@
 	}
 }
 
-func (d *Directory) closeSilent(now time.Time) {
-	for _, l := range d.manager.Links() {
-		if now.Sub(l.LastReceived()) > silenceLimit {
-			l.Close()
-		}
-	}
-}
-
-func (d *Directory) dialDue(ctx context.Context, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for id, p := range d.peers {
-		if p.mux.Load() != nil {
-			continue
-		}
-		if now.Sub(p.lastUp) > forgetAfter {
-			delete(d.peers, id)
-			eventPeerGone.Log(d.config.Logger, "host", id)
-			continue
-		}
-		if p.dialing || now.Before(p.nextTry) || d.manager.Link(id) != nil {
-			continue
-		}
-		p.dialing = true
-		go d.dial(ctx, p, p.record.Load().Address)
-	}
-}
-
-func (d *Directory) dial(ctx context.Context, p *Peer, address string) {
-	_, err := d.manager.Dial(ctx, address)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p.dialing = false
-	if err == nil {
-		p.pause = redialLeast
-	} else {
-		p.pause = min(2*p.pause, redialMost)
-	}
-	p.nextTry = time.Now().Add(p.pause/2 + time.Duration(rand.Int64N(int64(p.pause))))
-}
-
-func (d *Directory) up(l *transport.Link) {
-	mux := hop.NewMux(l, d.config.Local, d.config.Clock, d.bodies)
-	d.mu.Lock()
-	d.muxes[l] = mux
-	if p := d.peers[l.Peer()]; p != nil {
-		p.mux.Store(mux)
-		p.lastUp = time.Now()
-	}
-	d.mu.Unlock()
-	status := d.config.Report()
-	status.Record = &d.config.Self
-	_ = l.Send(transport.KindHostStatus, status) // The queue of a new link is empty.
-	eventPeerUp.Log(d.config.Logger, "host", l.Peer())
-}
-
-func (d *Directory) down(l *transport.Link, err error) {
-	d.mu.Lock()
-	mux := d.muxes[l]
-	delete(d.muxes, l)
-	if p := d.peers[l.Peer()]; p != nil && p.mux.CompareAndSwap(mux, nil) {
-		p.lastUp = time.Now()
-		p.nextTry = time.Now()
-		p.status.Store(nil)
-	}
-	d.rebuild()
-	d.mu.Unlock()
-	mux.Close()
-	eventPeerDown.Log(d.config.Logger, "host", l.Peer(), "silent_ms", time.Since(l.LastReceived()).Milliseconds(), "error", err)
-}
-
 func (d *Directory) message(l *transport.Link, m transport.Message) {
 	d.mu.Lock()
 	mux := d.muxes[l]
