Endpoints with room are drawn by free slots and speed

Change: the choice among endpoints of the own domain with room is drawn in proportion to their free slots and speed. Tests of placement, asynclog, boottime.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,8 +25,6 @@
 	failureCost = 8
 	// otherDomain is the factor on the expected time in another domain.
 	otherDomain = 1.4
-	// idleCost weighs run times against used slots among endpoints with room.
-	idleCost = 0.3
 	// jitter spreads the choices of hosts that see the same loads.
 	jitter = 0.15
 	// targetMargin is how many mean run times must fit into what is left of the
@@ -59,21 +57,45 @@
 // numbers in [0, 1).
 func Choose(candidates []Candidate, targetLeft time.Duration, random func() float64) int {
 	typical := typicalRun(candidates)
-	best, bestCost, bestNear := -1, 0.0, false
+	if i := chooseNear(candidates, typical, targetLeft, random); i >= 0 {
+		return i
+	}
+	best, bestCost := -1, 0.0
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Tried || c.Slots <= 0 {
 			continue
 		}
-		near := c.roomInDomain(typical, targetLeft)
-		cost := c.cost(typical, near) * (1 + jitter*random())
-		if best < 0 || (near && !bestNear) || (near == bestNear && cost < bestCost) {
-			best, bestCost, bestNear = i, cost, near
+		if cost := c.cost(typical) * (1 + jitter*random()); best < 0 || cost < bestCost {
+			best, bestCost = i, cost
 		}
 	}
 	return best
 }
 
+// chooseNear draws among the endpoints of the own domain with room, in proportion
+// to the rate at which their free slots serve calls. Hosts that all took the best
+// endpoint by the same old reports would fill it together.
+func chooseNear(candidates []Candidate, typical, targetLeft time.Duration, random func() float64) int {
+	total := 0.0
+	for i := range candidates {
+		total += candidates[i].room(typical, targetLeft)
+	}
+	left := total * random()
+	chosen := -1
+	for i := range candidates {
+		room := candidates[i].room(typical, targetLeft)
+		if room <= 0 {
+			continue
+		}
+		chosen = i
+		if left -= room; left < 0 {
+			break
+		}
+	}
+	return chosen
+}
+
 // typicalRun is the mean over the candidates that know theirs.
 func typicalRun(candidates []Candidate) time.Duration {
 	sum, known := time.Duration(0), 0
@@ -100,19 +122,20 @@
 	return run
 }
 
-func (c *Candidate) roomInDomain(typical, targetLeft time.Duration) bool {
-	return c.SameDomain && c.FailShare < failingShare &&
-		float64(c.Occupied+1) <= roomShare*float64(c.Slots) &&
-		targetMargin*c.run(typical) < float64(max(targetLeft, 0))
+// room is the rate at which free slots serve calls, 0 where the endpoint is not to
+// be preferred.
+func (c *Candidate) room(typical, targetLeft time.Duration) float64 {
+	free := roomShare*float64(c.Slots) - float64(c.Occupied)
+	if c.Tried || !c.SameDomain || c.FailShare >= failingShare || free < 1 ||
+		targetMargin*c.run(typical) >= float64(max(targetLeft, 0)) {
+		return 0
+	}
+	return free / c.run(typical)
 }
 
-// cost is the expected time to the answer. Among endpoints with room it grows
-// with the share of used slots, so that fast ones take more calls but not all.
-func (c *Candidate) cost(typical time.Duration, near bool) float64 {
+// cost is the expected time to the answer.
+func (c *Candidate) cost(typical time.Duration) float64 {
 	used := float64(c.Occupied+1) / float64(c.Slots)
-	if near {
-		return c.run(typical) * (idleCost + used)
-	}
 	cost := c.run(typical) * max(1, used) * (1 + used/10) * (1 + failureCost*c.FailShare)
 	if !c.SameDomain {
 		cost *= otherDomain
