Tests take wire names from the stand-ins of platform/

Change: platform/standin makes configurations, announcements and endpoints for tests. Measured: tests of entrance, hostnode and platform pass.

--- a/entrance/entrance_test.go
+++ b/entrance/entrance_test.go
@@ -21,6 +21,7 @@
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/peers"
 	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/platform/standin"
 	"geraniumnotch.example/geraniumnotch/repeats"
 	"geraniumnotch.example/geraniumnotch/routeplan"
 )
@@ -83,10 +84,7 @@
 
 func newWorld(handler http.HandlerFunc) *world {
 	w := &world{listener: listen(), backends: listen(), ended: make(chan entrance.Exchange, 100)}
-	w.backend = &http.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
-		out.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		handler(out, r)
-	})}
+	w.backend = &http.Server{Handler: standin.Endpoint(func(out http.ResponseWriter, r *http.Request, _, _ string) { handler(out, r) })}
 	go func() { _ = w.backend.Serve(w.backends) }() // Ends in close.
 	identity := hosted.Identity{Service: "s", Address: w.backends.Addr().String(), FailureDomain: "d"}
 	registration := hosted.NewRegistration(identity, boottime.Now, func(*hosted.Endpoint) {})
@@ -119,8 +117,27 @@
 	return c, bufio.NewReader(c)
 }
 
-func get(id, path string) string {
-	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nDeadline-Ms: 5000\r\n\r\n", path, id)
+func get(id, path string) string { return request("GET", id, path, "") }
+
+// request returns the head of a request with further header lines.
+func request(method, id, path, lines string) string {
+	h := http.Header{}
+	platform.Headers{}.SetRequestID(h, id)
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h\r\n", method, path)
+	if err := h.Write(&b); err != nil {
+		panic(err)
+	}
+	return b.String() + lines + "\r\n"
+}
+
+// idOf returns the ID of a request that an endpoint got.
+func idOf(r *http.Request) string {
+	id, _, err := platform.Headers{}.Request(r.Header)
+	if err != nil {
+		panic(err)
+	}
+	return id
 }
 
 func answer(r *bufio.Reader) (int, string, http.Header) {
@@ -186,20 +203,20 @@
 		})
 		Convey("with a plan", func() {
 			w.plan.Offer(testPlan(1))
-			for name, request := range map[string]struct {
+			for name, bad := range map[string]struct {
 				text   string
 				status int
 			}{
 				"no route":   {get("1", "/unknown/"), 404},
 				"no ID":      {"GET /read/ HTTP/1.1\r\nHost: h\r\n\r\n", 400},
 				"no HTTP":    {"nonsense\r\n\r\n", 400},
-				"long head":  {"GET /read/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nX: " + strings.Repeat("x", 8<<10) + "\r\n\r\n", 431},
-				"long body":  {"POST /order/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: 99999999\r\n\r\n", 413},
-				"two bodies": {"POST /order/ HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400},
+				"long head":  {request("GET", "1", "/read/", "X: "+strings.Repeat("x", 8<<10)+"\r\n"), 431},
+				"long body":  {request("POST", "1", "/order/", "Content-Length: 99999999\r\n"), 413},
+				"two bodies": {request("POST", "1", "/order/", "Content-Length: 3\r\nContent-Length: 4\r\n") + "abcd", 400},
 			} {
 				Convey(name, func() {
-					status, _ := ask(request.text)
-					So(status, ShouldEqual, request.status)
+					status, _ := ask(bad.text)
+					So(status, ShouldEqual, bad.status)
 				})
 			}
 		})
@@ -229,7 +246,7 @@
 					request, err := http.NewRequest("POST", "http://"+w.listener.Addr().String()+"/order/x?q=1", reader)
 					So(err, ShouldBeNil)
 					request.Host = "h"
-					request.Header.Set("Request-Id", "b")
+					platform.Headers{}.SetRequestID(request.Header, "b")
 					transport := &http.Transport{}
 					defer transport.CloseIdleConnections()
 					response, err := transport.RoundTrip(request)
@@ -245,7 +262,7 @@
 			request, err := http.NewRequest("POST", "http://"+w.listener.Addr().String()+"/order/x", io.MultiReader(bytes.NewReader(make([]byte, 3<<20))))
 			So(err, ShouldBeNil)
 			request.Host = "h"
-			request.Header.Set("Request-Id", "b")
+			platform.Headers{}.SetRequestID(request.Header, "b")
 			transport := &http.Transport{}
 			defer transport.CloseIdleConnections()
 			if response, err := transport.RoundTrip(request); err == nil {
@@ -317,7 +334,7 @@
 		runs := map[string]int{}
 		w := newWorld(func(_ http.ResponseWriter, r *http.Request) {
 			mu.Lock()
-			runs[r.Header.Get("Request-Id")]++
+			runs[idOf(r)]++
 			mu.Unlock()
 			panic(http.ErrAbortHandler)
 		})
@@ -405,7 +422,7 @@
 			mu.Unlock()
 			c, nr := w.dial()
 			defer func() { _ = c.Close() }()
-			_, _ = io.WriteString(c, get(r.Header.Get("Request-Id")+".n", "/unknown/")) // The answer shows an error.
+			_, _ = io.WriteString(c, get(idOf(r)+".n", "/unknown/")) // The answer shows an error.
 			if status, _, _ := answer(nr); status != 200 {
 				out.WriteHeader(http.StatusInternalServerError)
 			}
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -66,13 +65,11 @@
 	h := &siteHost{site: s, name: name, address: map[string]string{}, runs: map[string]int{}}
 	l, address := freeAddress()
 	h.address["endpoint"] = address
-	h.endpoint = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	h.endpoint = &http.Server{Handler: standin.Endpoint(func(w http.ResponseWriter, _ *http.Request, id, caller string) {
 		h.mu.Lock()
-		h.runs[r.Header.Get("Request-Id")]++
+		h.runs[id]++
 		h.mu.Unlock()
-		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-		w.Header().Set("Response-Stamp", "stamp")
-		_, _ = io.WriteString(w, name+" "+r.Header.Get("Caller-Service")) // The client checks the body.
+		_, _ = io.WriteString(w, name+" "+caller) // The client checks the body.
 	})}
 	go func() { _ = h.endpoint.Serve(l) }() // Ends in close.
 	for _, use := range []string{"calls", "peers", "ready", "announcements", "metrics"} {
@@ -148,9 +145,14 @@
 // announce sends a heartbeat of the endpoint beside the host.
 func (h *siteHost) announce(service, state string) int {
 	h.sequence++
-	return post("http://"+h.address["announcements"]+"/instances/i-"+h.name+"/heartbeat", fmt.Sprintf(
-		`{"address":%q,"born":1000,"info":{"service":%q,"version":"v1","zone":"d","slots":4},"status":{"state":%q,"sequence":%d,"cold-remaining-ms":0}}`,
-		h.address["endpoint"], service, state, h.sequence))
+	path, body := standin.Heartbeat("i-"+h.name, h.address["endpoint"], service, "d", state, h.sequence)
+	return post("http://"+h.address["announcements"]+path, body)
+}
+
+// garbled sends an announcement that cannot be read.
+func garbled(h *siteHost) int {
+	path, _ := standin.Heartbeat("i-x", "", "", "", "", 1)
+	return post("http://"+h.address["announcements"]+path, "garbage")
 }
 
 // get sends a call to the host's entry.
@@ -160,8 +162,7 @@
 		panic(err)
 	}
 	request.Host = "h.example"
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", "2000")
+	platform.Headers{}.SetRequestID(request.Header, id)
 	// A connection must not outlive the node that the test ends.
 	request.Close = true
 	response, err := http.DefaultClient.Do(request)
@@ -176,26 +177,6 @@
 	return response.StatusCode, string(body)
 }
 
-// config is the operator's configuration with one route for each service.
-func config(version int, services ...string) []byte {
-	var routes, known []map[string]any
-	for _, s := range services {
-		routes = append(routes, map[string]any{
-			"name": "r-" + s, "host": "h.example", "path-prefix": "/" + s + "/", "route-type": "safe", "timeout-ms": 2000,
-			"target-latency-ms": 500, "priority": 0, "service": s, "max-attempts": 2,
-		})
-		known = append(known, map[string]any{"name": s, "health-path": "/health", "max-connections": 100})
-	}
-	value, err := json.Marshal(map[string]any{
-		"version": fmt.Sprintf("%08x", version), "routes": routes, "services": known,
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-	})
-	if err != nil {
-		panic(err)
-	}
-	return value
-}
-
 // waitFor waits until a state that other goroutines bring about is there.
 func waitFor(state func() bool) {
 	for end := time.Now().Add(15 * time.Second); !state(); {
@@ -212,7 +193,7 @@
 	Convey("two hosts of different services", t, func() {
 		s := newSite(t)
 		defer s.close()
-		s.store.Write(platform.ConfigKey, config(4, "one", "two"))
+		s.store.Write(platform.ConfigKey, standin.Config(4, "one", "two"))
 		a, b := s.add("host-a", "one"), s.add("host-b", "two")
 		So(a.announce("one", "ready"), ShouldEqual, 200)
 		So(b.announce("two", "ready"), ShouldEqual, 200)
@@ -227,19 +208,19 @@
 		waitFor(func() bool { return a.node.ready() && b.node.ready() })
 
 		Convey("a version is in force on both, and never an older one", func() {
-			s.store.Write(platform.ConfigKey, config(9, "one", "two", "three"))
+			s.store.Write(platform.ConfigKey, standin.Config(9, "one", "two", "three"))
 			waitFor(func() bool { return a.node.keeper.version() == 9 && b.node.keeper.version() == 9 })
-			s.store.Write(platform.ConfigKey, config(7, "one"))
-			calls := s.store.Calls("/kv-txn")
-			waitFor(func() bool { return s.store.Calls("/kv-txn") > calls+1 })
+			s.store.Write(platform.ConfigKey, standin.Config(7, "one"))
+			calls := s.store.Calls(standin.PathTransaction)
+			waitFor(func() bool { return s.store.Calls(standin.PathTransaction) > calls+1 })
 			So(a.node.keeper.version(), ShouldEqual, 9)
 			So(b.node.keeper.version(), ShouldEqual, 9)
 		})
 		Convey("malformed configurations and records change nothing", func() {
 			s.store.Write(platform.ConfigKey, []byte(`{"version":"000000ff"`))
 			s.store.Write("geraniumnotch/hosts/other", []byte("garbage"))
-			calls := s.store.Calls("/kv-txn")
-			waitFor(func() bool { return s.store.Calls("/kv-txn") > calls+1 })
+			calls := s.store.Calls(standin.PathTransaction)
+			waitFor(func() bool { return s.store.Calls(standin.PathTransaction) > calls+1 })
 			So(a.node.keeper.version(), ShouldEqual, 4)
 			So(reaches(a, "/two/x", "host-b one")(), ShouldBeTrue)
 		})
@@ -257,12 +238,12 @@
 				mu.Lock()
 				defer mu.Unlock()
 				// Every second comparison fails, whoever makes it.
-				if first = !first; path == "/kv-txn" && first {
+				if first = !first; path == standin.PathTransaction && first {
 					return standin.Reset
 				}
 				return standin.None
 			})
-			s.store.Write(platform.ConfigKey, config(9, "one", "two"))
+			s.store.Write(platform.ConfigKey, standin.Config(9, "one", "two"))
 			waitFor(func() bool { return a.node.keeper.version() == 9 && b.node.keeper.version() == 9 })
 		})
 		Convey("a leaving endpoint gets nothing once its announcement is answered", func() {
@@ -279,7 +260,7 @@
 			So(len(b.runs), ShouldEqual, runs)
 		})
 		Convey("malformed announcements are rejected and change nothing", func() {
-			So(post("http://"+b.address["announcements"]+"/instances/i-x/heartbeat", "garbage"), ShouldEqual, 400)
+			So(garbled(b), ShouldEqual, 400)
 			So(b.announce("three", "ready"), ShouldEqual, 200)
 			So(reaches(a, "/two/x", "host-b one")(), ShouldBeTrue)
 		})
