A call that may have run is never refused as not run

Cause: read-through: an idempotent call whose first attempt broke got 503 when no other gate took the repeat, although it may have run. The result of a refused attempt also depended on the order in which Go evaluates a return statement. Change: such a call ends with the broken attempt's 502; the decision stands in statements of its own.

--- a/entrance/entrance_test.go
+++ b/entrance/entrance_test.go
@@ -350,6 +350,18 @@
 		defer mu.Unlock()
 		So(runs["1"], ShouldEqual, 1)
 	})
+	Convey("a call that may have run is not called not run when nothing is left to try", t, func() {
+		w := newWorld(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		defer w.close()
+		w.plan.Offer(testPlan(1))
+		c, r := w.dial()
+		defer func() { _ = c.Close() }()
+		_, err := io.WriteString(c, get("1", "/read/1"))
+		So(err, ShouldBeNil)
+		status, _, h := answer(r)
+		So(status, ShouldEqual, 502)
+		So(h.Get("Retry-After"), ShouldBeEmpty)
+	})
 	Convey("the client leaves while its call runs", t, func() {
 		started, cancelled := make(chan struct{}), make(chan struct{})
 		w := newWorld(func(_ http.ResponseWriter, r *http.Request) {
--- a/entrance/forward.go
+++ b/entrance/forward.go
@@ -57,8 +57,11 @@
 	tried    map[mesh.HostID]bool
 	sent     int
 	refusals int
-	// refused is the latest refusal; fallback the answer that a repeat may better.
+	// refused is the refusal with the longest wait; broken the latest attempt
+	// that may have run without an answer; fallback the answer that a repeat may
+	// better.
 	refused  call.Result
+	broken   call.Result
 	fallback *call.Answer
 	last     mesh.HostID
 }
@@ -93,7 +96,7 @@
 	a.c.Left, a.c.TargetLeft = a.deadline-now, a.targetBy-now
 	t, found := a.choose()
 	if !found {
-		return a.refusal(), false
+		return a.unserved(), false
 	}
 	r := t.runner.Run(ctx, a.c)
 	a.last = t.host
@@ -107,11 +110,12 @@
 	case r.Fate == call.Refused:
 		a.refused = longerWait(a.refused, r)
 		a.refusals++
-		if a.refusals >= maxRefusals || r.Reason == call.ReasonTooLate {
-			return a.refusal(), false
+		if a.refusals < maxRefusals && r.Reason != call.ReasonTooLate && a.maySendElsewhere(r) {
+			return r, true
 		}
-		return r, !r.Sent && a.rewind() || r.Sent && a.mayRepeat() || a.refuse(&r)
+		return a.unserved(), false
 	case r.Fate == call.Broken && a.c.Idempotent():
+		a.broken = r
 		return r, a.mayRepeat()
 	case r.Fate == call.Answered && a.c.Idempotent() && r.Answer.Status >= http.StatusInternalServerError &&
 		r.Answer.Stream == nil && !r.NestedFailed && a.timeForRepeat() && a.mayRepeat():
@@ -121,10 +125,13 @@
 	return r, false
 }
 
-// refuse ends the call with the refusal that is known.
-func (a *attempts) refuse(r *call.Result) bool {
-	*r = a.refusal()
-	return false
+// maySendElsewhere reports whether a refused call may go to another gate. That is
+// free as long as no endpoint got it.
+func (a *attempts) maySendElsewhere(r call.Result) bool {
+	if r.Sent {
+		return a.mayRepeat()
+	}
+	return a.rewind()
 }
 
 // longerWait keeps the refusal that names the longer wait.
@@ -153,8 +160,12 @@
 	return a.targetBy-a.f.Clock() > time.Duration(repeatShare*float64(a.route.Target))
 }
 
-// refusal is the result when no endpoint took the call.
-func (a *attempts) refusal() call.Result {
+// unserved is the result when no further endpoint takes the call. It is a refusal
+// only if no earlier attempt may have run.
+func (a *attempts) unserved() call.Result {
+	if a.broken.Fate != 0 {
+		return a.broken
+	}
 	r := a.refused
 	if r.Fate == 0 {
 		r = call.Result{Fate: call.Refused, Reason: call.ReasonNoEndpoint}
