Test of the whole path reserves its addresses

Change: each host of a test has a loopback IP and ports below the range of outgoing connections, by process ID and number. Conclusion: traced; a fault of the test's set-up, no check changes.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,12 +41,18 @@
 	runs     map[string]int
 }
 
-func freeAddress() (net.Listener, string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	return l, l.Addr().String()
+// hosts counts the hosts of this process.
+var hosts atomic.Int64
+
+// reservedAddress returns an address that no other host of a test has: a loopback
+// IP and a port by the process ID and the number of the host. The port is below
+// those that the system gives to outgoing connections, so that it is free until
+// the node listens.
+func reservedAddress(host int64, use int) string {
+	const firstPort, usesPerHost = 10000, 20
+	pid := os.Getpid()
+	ip := netip.AddrFrom4([4]byte{127, byte(64 + pid>>16&63), byte(pid >> 8), byte(host)})
+	return netip.AddrPortFrom(ip, uint16(firstPort+(pid&255)*usesPerHost+use)).String()
 }
 
 func newSite(t *testing.T) *site { return &site{store: standin.New(), dir: t.TempDir()} }
@@ -63,8 +71,14 @@
 // add starts a host with an endpoint that answers with the name of its host.
 func (s *site) add(name, service string) *siteHost {
 	h := &siteHost{site: s, name: name, address: map[string]string{}, runs: map[string]int{}}
-	l, address := freeAddress()
-	h.address["endpoint"] = address
+	number := hosts.Add(1)
+	for i, use := range []string{"endpoint", "calls", "peers", "ready", "announcements", "metrics"} {
+		h.address[use] = reservedAddress(number, i)
+	}
+	l, err := net.Listen("tcp", h.address["endpoint"])
+	if err != nil {
+		panic(err)
+	}
 	h.endpoint = &http.Server{Handler: standin.Endpoint(func(w http.ResponseWriter, _ *http.Request, id, caller string) {
 		h.mu.Lock()
 		h.runs[id]++
@@ -72,11 +86,6 @@
 		_, _ = io.WriteString(w, name+" "+caller) // The client checks the body.
 	})}
 	go func() { _ = h.endpoint.Serve(l) }() // Ends in close.
-	for _, use := range []string{"calls", "peers", "ready", "announcements", "metrics"} {
-		l, address := freeAddress()
-		_ = l.Close() // The node listens there.
-		h.address[use] = address
-	}
 	h.write(service)
 	s.hosts = append(s.hosts, h)
 	h.start()
