--- a/hostnode/registrar.go
+++ b/hostnode/registrar.go
@@ -21,8 +21,8 @@
 	leaseLifetime = 60 * time.Second
 	// renewInterval leaves time for two further attempts before the lease ends.
 	renewInterval = 18 * time.Second
-	// renewRetry is the pause after a failed renewal. A host is registered again
-	// within two seconds of the store's return.
+	// renewRetry is the pause after a failed renewal. It applies only once a
+	// renewal has failed; a lease that lapsed between renewals waits for the next.
 	renewRetry = 1200 * time.Millisecond
 	// listEvery is the number of renewals between two reads of all hosts. They
 	// find hosts that started while this one could not be reached.
