Hosts renew their records when the store answers again

Cause: renewals are 9 to 27 s apart, and only a failed one was repeated soon. A lease that ended while the store was away and between two renewals left the host's record missing for up to 27 s; the users expect it back after about 2 s. The hosts that do not read the plan had no sign of the outage at all. Change: a reader counts in its stamp the reads that succeed after a failed one; each host that hears of a new return renews within 0.3 s, or 2 ms a host if that is longer, so that writes stay below what the store takes. TestRegistrationReturnsAfterLapsedLeases now leaves the work to the running nodes and checks the time and the number of calls; it did not check the time. TestReturnOfTheStoreReachesAllHosts checks that a failover does not count.

--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -64,6 +64,8 @@
 	Reader string
 	// Number counts the reads of the reader.
 	Number uint64
+	// Returns counts the reads of the reader that succeeded after a failed one.
+	Returns uint64
 }
 
 // Tracker follows how current the plan of a host is. It is safe for concurrent
@@ -77,8 +79,10 @@
 	// the read with the stamp latest.
 	confirmed boottime.Time
 	latest    Stamp
-	// numbers holds the highest number heard of each reader.
-	numbers map[string]uint64
+	// readers holds the latest stamp heard of each reader.
+	readers map[string]Stamp
+	// returns counts the news that the store answers again.
+	returns uint64
 	self    string
 	// wanted is the newest version heard of, from the host source.
 	wanted    uint64
@@ -92,7 +96,7 @@
 // New returns a tracker without a plan. Self names the host and its incarnation;
 // deadline is the time within which a new plan must be in force.
 func New(self string, deadline time.Duration) *Tracker {
-	return &Tracker{self: self, deadline: deadline, numbers: map[string]uint64{}}
+	return &Tracker{self: self, deadline: deadline, readers: map[string]Stamp{}}
 }
 
 func (t *Tracker) part(share float64) time.Duration {
@@ -115,10 +119,16 @@
 func (t *Tracker) Read(began boottime.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	own := t.readers[t.self]
+	own.Reader = t.self
+	own.Number++
+	if t.failures != 0 {
+		own.Returns++
+		t.returns++
+	}
 	t.failures, t.notBefore = 0, 0
 	t.confirmed = max(t.confirmed, began)
-	t.numbers[t.self]++
-	t.latest = Stamp{Reader: t.self, Number: t.numbers[t.self]}
+	t.readers[t.self], t.latest = own, own
 	if t.wanted <= t.version {
 		return
 	}
@@ -139,7 +149,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.confirmed = max(t.confirmed, now)
-	t.failures = max(t.failures, 1)
 }
 
 // Heard notes the report of a peer: its version, and the latest read that it
@@ -149,10 +158,15 @@
 	defer t.mu.Unlock()
 	switch {
 	case version == t.version && version != 0:
-		if stamp.Number > t.numbers[stamp.Reader] {
-			t.numbers[stamp.Reader] = stamp.Number
-			t.latest, t.confirmed = stamp, now
+		known := t.readers[stamp.Reader]
+		if stamp.Number <= known.Number {
+			return
+		}
+		if stamp.Returns > known.Returns {
+			t.returns++
 		}
+		t.readers[stamp.Reader] = stamp
+		t.latest, t.confirmed = stamp, now
 	case version > t.version && version > t.wanted:
 		t.wanted, t.source = version, from
 	}
@@ -166,6 +180,14 @@
 	return t.latest
 }
 
+// Returns counts the times that this host or a reader that it hears of found
+// the store answering again after a failed read. Leases may have ended meanwhile.
+func (t *Tracker) Returns() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.returns
+}
+
 // Next returns what is due. Rank is the number of reachable hosts that come
 // before this one.
 func (t *Tracker) Next(now boottime.Time, rank int) (Action, mesh.HostID) {
--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -219,6 +219,39 @@
 	})
 }
 
+// Guards against hosts that read nothing themselves and do not learn that the
+// store was away, when leases may have lapsed.
+func TestReturnOfTheStoreReachesAllHosts(t *testing.T) {
+	returns := func(s *simulation) (n int) {
+		for _, h := range s.hosts {
+			if h.tracker.Returns() != 0 {
+				n++
+			}
+		}
+		return n
+	}
+	for _, outage := range []time.Duration{600 * time.Millisecond, 3 * time.Second, 10 * time.Second} {
+		Convey(fmt.Sprint("the store refuses all hosts for ", outage), t, func() {
+			s := newSimulation(11)
+			s.run(5 * time.Second)
+			So(returns(s), ShouldEqual, 0)
+			s.refuses = func(int) bool { return true }
+			s.run(outage)
+			So(returns(s), ShouldEqual, 0)
+			s.refuses = func(int) bool { return false }
+			s.run(1300 * time.Millisecond)
+			So(returns(s), ShouldEqual, 11)
+		})
+	}
+	Convey("the reading host dies while the store serves", t, func() {
+		s := newSimulation(11)
+		s.run(5 * time.Second)
+		s.cut = func(a, b int) bool { return a != b && (a == 0 || b == 0) }
+		s.run(10 * time.Second)
+		So(returns(s), ShouldEqual, 0)
+	})
+}
+
 // Guards against a burst of versions that costs a call of each host for each.
 func TestVersionsInQuickSuccessionAreGathered(t *testing.T) {
 	Convey("a version every 50 ms for five seconds", t, func() {
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -306,19 +306,39 @@
 	})
 }
 
-// Guards against a host that is missing in the store after its lease has lapsed.
+// Guards against hosts that are missing in the store long after their leases
+// have lapsed, and against a rush of calls when it returns. The users' bound is
+// two seconds from the store's return.
 func TestRegistrationReturnsAfterLapsedLeases(t *testing.T) {
 	Convey("the leases end while the store refuses calls", t, func() {
 		s := newSite(t)
 		defer s.close()
-		s.add("host-a", "one")
-		key := hostsPrefix + "host-a"
-		waitFor(func() bool { return len(s.store.Keys(key)) == 1 })
+		s.store.Write(platform.ConfigKey, standin.Config(1, "one"))
+		for _, name := range []string{"host-a", "host-b", "host-c"} {
+			s.add(name, "one")
+		}
+		records := func() int { return len(s.store.Keys(hostsPrefix)) }
+		waitFor(func() bool { return records() == 3 })
+		waitFor(func() bool {
+			for _, h := range s.hosts {
+				if h.node.directory.Hosts() != 3 || h.node.keeper.version() == 0 {
+					return false
+				}
+			}
+			return true
+		})
+		s.store.SetFault(func(string) standin.Fault { return standin.Busy })
+		time.Sleep(1500 * time.Millisecond)
 		s.store.EndLeases()
-		So(s.store.Keys(key), ShouldBeEmpty)
-		lease := uint64(1)
-		So(s.hosts[0].node.registrar.round(context.Background(), &lease, 1), ShouldBeNil)
-		So(s.store.Keys(key), ShouldHaveLength, 1)
+		So(records(), ShouldEqual, 0)
+		before := s.store.Calls("/")
+		s.store.SetFault(nil)
+		returned := time.Now()
+		waitFor(func() bool { return records() == 3 })
+		So(time.Since(returned), ShouldBeLessThan, 2*time.Second)
+		// Each host renews in vain, takes a lease, writes and lists once; the rest
+		// are comparisons of the plan.
+		So(s.store.Calls("/")-before, ShouldBeLessThan, 3*4+3*5)
 	})
 }
 
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -94,6 +94,7 @@
 		ask:      func(host mesh.HostID, have uint64) error { return n.directory.AskPlan(host, have) },
 		accepted: func(p *routeplan.Plan) { n.entry.PlanChanged(p) },
 		changed:  func() { n.directory.Changed() },
+		returned: func() { n.registrar.storeReturned() },
 		health:   dependency{logger: logger, name: "plan"},
 	}
 	n.registration = hosted.NewRegistration(s.Endpoint, boottime.Now, func(*hosted.Endpoint) { n.directory.Changed() })
@@ -107,7 +108,8 @@
 		},
 	})
 	n.registrar = &registrar{
-		store: n.store, record: record, logger: logger, learn: n.directory.Learn, health: dependency{logger: logger, name: "hosts"},
+		store: n.store, record: record, logger: logger, learn: n.directory.Learn,
+		returned: make(chan struct{}, 1), hosts: n.directory.Hosts, health: dependency{logger: logger, name: "hosts"},
 	}
 	n.entry = entrance.New(entrance.Config{
 		Plan: &n.plan, Headers: platform.Headers{}, Clock: boottime.Now, Observer: watch,
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -40,6 +40,8 @@
 	// and after each read that confirmed it.
 	accepted func(*routeplan.Plan)
 	changed  func()
+	// returned is called when the store answers again, to this host or a peer.
+	returned func()
 
 	mu sync.Mutex
 	// revision is the store's revision of the plan that was read last.
@@ -145,7 +147,12 @@
 
 // run keeps the plan current until ctx ends.
 func (k *planKeeper) run(ctx context.Context) {
+	returns := uint64(0)
 	for sleep(ctx, planTick) {
+		if n := k.fresh.Returns(); n != returns {
+			returns = n
+			k.returned()
+		}
 		switch action, host := k.fresh.Next(boottime.Now(), k.rank()); action {
 		case freshness.ReadStore:
 			k.read(ctx)
--- a/hostnode/registrar.go
+++ b/hostnode/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -21,9 +22,15 @@
 	leaseLifetime = 60 * time.Second
 	// renewInterval leaves time for two further attempts before the lease ends.
 	renewInterval = 18 * time.Second
-	// renewRetry is the pause after a failed renewal. It applies only once a
-	// renewal has failed; a lease that lapsed between renewals waits for the next.
+	// renewRetry is the pause after a failed renewal.
 	renewRetry = 1200 * time.Millisecond
+	// returnSpread is the time over which hosts renew once the store answers again.
+	// Together with the pause between failed reads of the plan it stays within the
+	// two seconds after which a missing record counts as gone.
+	returnSpread = 300 * time.Millisecond
+	// returnSpreadPerHost stretches it for many hosts: two writes each then stay
+	// below 1,000 writes a second, which the stores of such deployments serve.
+	returnSpreadPerHost = 2 * time.Millisecond
 	// listEvery is the number of renewals between two reads of all hosts. They
 	// find hosts that started while this one could not be reached.
 	listEvery = 1
@@ -35,6 +42,10 @@
 	record peers.Record
 	logger hclog.Logger
 	learn  func(...peers.Record)
+	// returned signals that the store answers again. Leases may have ended.
+	returned chan struct{}
+	// hosts returns the number of hosts that share the store.
+	hosts  func() int
 	health dependency
 	// listed is set once the hosts have been read.
 	listed atomic.Bool
@@ -45,14 +56,33 @@
 	for ctx.Err() == nil {
 		err := r.round(ctx, &lease, round)
 		r.health.observe(err)
-		if err != nil {
-			if !sleep(ctx, jittered(renewRetry)) {
-				return
-			}
-			continue
+		pause := renewRetry
+		if err == nil {
+			round++
+			pause = renewInterval
 		}
-		round++
-		sleep(ctx, jittered(renewInterval))
+		r.pause(ctx, jittered(pause))
+	}
+}
+
+// pause waits until the next renewal is due.
+func (r *registrar) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-r.returned:
+		spread := max(returnSpread, time.Duration(r.hosts())*returnSpreadPerHost)
+		sleep(ctx, rand.N(spread))
+	}
+}
+
+// storeReturned makes the next renewal due soon.
+func (r *registrar) storeReturned() {
+	select {
+	case r.returned <- struct{}{}:
+	default: // A renewal is due already.
 	}
 }
 
