Endpoints whose run time rests on few calls get few calls

Its first answers needed no work and took 4 ms; that was its mean run time, a hundredth of the others', and the choice draws by free slots over run time. After 5 s without calls, as with a slow endpoint that is avoided, one such answer replaced the mean. Change: a mean is reported from five run times on, and one that was not used for a while keeps the weight of two. An endpoint of unknown run time, while most others' are known, counts with a quarter of its slots, and is tried whether or not its start time fits the target. TestUnknownEndpointIsTriedWithFewCalls: 0 of 10,000 before for one that has just started.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -8,6 +8,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 )
 
@@ -31,6 +32,10 @@
 	// targetMargin is how many mean run times must fit into what is left of the
 	// target for an endpoint to be preferred.
 	targetMargin = 1.9
+	// trialShare is the share of the slots that counts while the mean run time of
+	// an endpoint is unknown and that of most others is known. It bounds what
+	// hosts send between two reports to an endpoint that may be slow.
+	trialShare = 0.25
 	// defaultRun stands for a mean run time that is not known yet.
 	defaultRun = 50 * time.Millisecond
 	// coldFactor is the slowness of an endpoint that has just started.
@@ -77,7 +82,7 @@
 // chooseNear draws among the endpoints of the own domain with room, in proportion
 // to the rate at which their free slots serve calls. Hosts that all took the best
 // endpoint by the same old reports would fill it together.
-func chooseNear(candidates []Candidate, typical, targetLeft time.Duration, random func() float64) int {
+func chooseNear(candidates []Candidate, typical expectation, targetLeft time.Duration, random func() float64) int {
 	total := 0.0
 	for i := range candidates {
 		total += candidates[i].room(typical, targetLeft)
@@ -97,8 +102,15 @@
 	return chosen
 }
 
-// typicalRun is the mean over the candidates that know theirs.
-func typicalRun(candidates []Candidate) time.Duration {
+// expectation is what is expected of an endpoint that nothing is known of.
+type expectation struct {
+	// run is the mean over the endpoints whose mean run time is known.
+	run time.Duration
+	// trial is set when these are most of them.
+	trial bool
+}
+
+func typicalRun(candidates []Candidate) expectation {
 	sum, known := time.Duration(0), 0
 	for i := range candidates {
 		if candidates[i].MeanRun > 0 {
@@ -107,15 +119,26 @@
 		}
 	}
 	if known == 0 {
-		return defaultRun
+		return expectation{run: defaultRun}
+	}
+	return expectation{run: sum / time.Duration(known), trial: 2*known > len(candidates)}
+}
+
+// trial reports whether the endpoint gets a few calls to learn its run time.
+func (c *Candidate) trial(typical expectation) bool { return c.MeanRun == 0 && typical.trial }
+
+// slots is the number of slots that the choice counts on.
+func (c *Candidate) slots(typical expectation) float64 {
+	if c.trial(typical) {
+		return math.Ceil(trialShare * float64(c.Slots))
 	}
-	return sum / time.Duration(known)
+	return float64(c.Slots)
 }
 
-func (c *Candidate) run(typical time.Duration) float64 {
+func (c *Candidate) run(typical expectation) float64 {
 	run := float64(c.MeanRun)
 	if run == 0 {
-		run = float64(typical)
+		run = float64(typical.run)
 		if c.Cold {
 			run *= coldFactor
 		}
@@ -125,18 +148,21 @@
 
 // room is the rate at which free slots serve calls, 0 where the endpoint is not to
 // be preferred.
-func (c *Candidate) room(typical, targetLeft time.Duration) float64 {
-	free := roomShare*float64(c.Slots) - float64(c.Occupied)
-	if c.Tried || !c.SameDomain || c.FailShare >= failingShare || free < 1 ||
-		targetMargin*c.run(typical) >= float64(max(targetLeft, 0)) {
+func (c *Candidate) room(typical expectation, targetLeft time.Duration) float64 {
+	free := roomShare*c.slots(typical) - float64(c.Occupied)
+	if c.Tried || !c.SameDomain || c.FailShare >= failingShare || free < 1 {
+		return 0
+	}
+	// A trial shows whether an endpoint is fast enough.
+	if !c.trial(typical) && targetMargin*c.run(typical) >= float64(max(targetLeft, 0)) {
 		return 0
 	}
 	return free / c.run(typical)
 }
 
 // cost is the expected time to the answer.
-func (c *Candidate) cost(typical time.Duration) float64 {
-	used := float64(c.Occupied+1) / float64(c.Slots)
+func (c *Candidate) cost(typical expectation) float64 {
+	used := float64(c.Occupied+1) / c.slots(typical)
 	cost := c.run(typical) * max(1, used) * (1 + used/10) * (1 + failureCost*c.FailShare)
 	if !c.SameDomain {
 		cost *= otherDomain
--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -36,9 +36,15 @@
 	retryMost  = 0.33
 	// smoothing is the weight of a new run time in the mean.
 	smoothing = 0.1
-	// forgetAfter is the time without samples after which a mean is forgotten. A
+	// forgetAfter is the time without samples after which a mean is not used. A
 	// gate that refused everything after a slow phase then tries again.
 	forgetAfter = 5 * time.Second
+	// staleSamples is the weight, in samples, of a mean that was not used for a
+	// while, so that one unusual run time does not take its place.
+	staleSamples = 2
+	// leastSamples is the number of run times from which a mean is reported. Some
+	// answers need no work and take a hundredth of the others.
+	leastSamples = 5
 )
 
 // Class groups calls with similar run times.
@@ -106,7 +112,7 @@
 
 func (m *mean) add(run time.Duration, now boottime.Time) {
 	if now-m.at > forgetAfter {
-		m.samples = 0
+		m.samples = min(m.samples, staleSamples)
 	}
 	m.samples++
 	weight := max(smoothing, 1/float64(m.samples))
@@ -343,9 +349,13 @@
 	return call.Load{Running: q.running, Waiting: len(q.waiting)}
 }
 
-// MeanRun returns the mean run time of all calls, 0 when it is unknown.
+// MeanRun returns the mean run time of all calls, 0 when it is unknown or rests
+// on few calls.
 func (q *Queue) MeanRun(now boottime.Time) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.overall.samples < leastSamples {
+		return 0
+	}
 	return q.overall.read(now)
 }
