Bodies from other hosts are fetched before the call holds a slot

A body was asked for when the call had got its slot, so that slots were held while 60 KB and more crossed links of 7 Mbit/s, several at a time; and nothing said that a body could not come in time. Change: a call whose body is at another host takes its place in the gate's queue, fetches the body, and only then may get a slot. The time that its body needs, by the link and the bodies before it, counts when the gate decides whether the call can meet its target. Tests: TestCallThatIsNotReadyHoldsNoSlot, TestBodyIsFetchedBeforeTheCallRuns (written with the change; neither compiles before it).

--- a/call/call.go
+++ b/call/call.go
@@ -49,6 +49,17 @@
 	Rewind() bool
 }
 
+// RemoteBody is a body that is still at another host.
+type RemoteBody interface {
+	Body
+	// Expected is the time until the body would be here if it were fetched now, by
+	// the bandwidth of this host's link and the bodies that come before.
+	Expected() time.Duration
+	// Fetch brings the body here. It fails when ctx ends first or the other host
+	// cannot send all of it.
+	Fetch(ctx context.Context) (Body, error)
+}
+
 // Load is the occupancy of a gate.
 type Load struct {
 	Running int
--- a/hop/bodies.go
+++ b/hop/bodies.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,7 +18,21 @@
 // bandwidth of its link. It answers a flood of long bodies on a narrow link, which
 // would hold up the calls and reports of all other hosts. The links of a host
 // share one value.
-type Bodies struct{ permits chan struct{} }
+type Bodies struct {
+	permits chan struct{}
+	// bytesPerSecond is the bandwidth of the link, 0 when unknown; pending is the
+	// length of the bodies that are being fetched.
+	bytesPerSecond float64
+	pending        atomic.Int64
+}
+
+// expected is the time that a further body of the given length takes.
+func (b *Bodies) expected(bytes int64) time.Duration {
+	if b.bytesPerSecond == 0 {
+		return 0
+	}
+	return time.Duration(float64(b.pending.Load()+bytes) / b.bytesPerSecond * float64(time.Second))
+}
 
 // NewBodies returns the bound for a link of the given bandwidth in Mbit/s. Zero
 // stands for an unknown bandwidth and bounds nothing.
@@ -25,8 +40,9 @@
 	if linkMbps <= 0 {
 		return &Bodies{}
 	}
-	bytes := linkMbps * 1e6 / bitsPerByte * bodyQueueTime.Seconds()
-	return &Bodies{permits: make(chan struct{}, max(1, int(bytes/windowBytes)))}
+	rate := linkMbps * 1e6 / bitsPerByte
+	permits := max(1, int(rate*bodyQueueTime.Seconds()/windowBytes))
+	return &Bodies{permits: make(chan struct{}, permits), bytesPerSecond: rate}
 }
 
 // permit is the right of one call to receive its body.
--- a/hop/messages.go
+++ b/hop/messages.go
@@ -20,6 +20,9 @@
 	chunkBytes = 16 << 10
 	// windowBytes bounds the bytes of a body that the receiver has not consumed.
 	windowBytes = 64 << 10
+	// fetchableBytes is the longest body that is fetched before its call gets a
+	// slot. Entries send longer ones while they arrive from the client.
+	fetchableBytes = 1 << 20
 	// inlineBytes is the largest body that travels with the head of a call. The
 	// gate may refuse the call, and then the body was sent for nothing.
 	inlineBytes = 4 << 10
--- a/hop/mux.go
+++ b/hop/mux.go
@@ -6,6 +6,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -249,7 +250,11 @@
 		in.body = newPipe(func(n int) {
 			_ = m.send(transport.KindCallCredit, creditFrame{Stream: f.Stream, Bytes: n}) // A lost link ends the stream.
 		})
-		c.Body = &remoteBody{in: in, ended: ctx.Done()}
+		body := remoteBody{in: in, bytes: f.BodyBytes, ended: ctx.Done()}
+		c.Body = &body
+		if f.BodyBytes >= 0 && f.BodyBytes <= fetchableBytes {
+			c.Body = &fetchableBody{body}
+		}
 	} else if f.HasBody {
 		c.Body = call.BytesBody(f.Body)
 	}
@@ -265,10 +270,10 @@
 	return nil
 }
 
-// remoteBody asks for the body only when it is first read, which is when the
-// call has got a slot.
+// remoteBody asks for the body only when it is first read.
 type remoteBody struct {
-	in *incoming
+	in    *incoming
+	bytes int64
 	// ended is closed when the call has ended.
 	ended <-chan struct{}
 	begun bool
@@ -289,6 +294,27 @@
 // Rewind reports whether nothing was read yet.
 func (b *remoteBody) Rewind() bool { return !b.begun }
 
+// fetchableBody is a body of known length that fits into memory.
+type fetchableBody struct{ remoteBody }
+
+// Expected is the time until the body would be here.
+func (b *fetchableBody) Expected() time.Duration { return b.in.permit.bodies.expected(b.bytes) }
+
+// Fetch reads the whole body.
+func (b *fetchableBody) Fetch(ctx context.Context) (call.Body, error) {
+	pending := &b.in.permit.bodies.pending
+	pending.Add(b.bytes)
+	defer pending.Add(-b.bytes)
+	stop := context.AfterFunc(ctx, func() { b.in.body.finish(ErrBodyBroken) })
+	defer stop()
+	b.ended = ctx.Done()
+	whole := make([]byte, b.bytes)
+	if _, err := io.ReadFull(b, whole); err != nil {
+		return nil, errors.Wrap(err, "hop: fetch body")
+	}
+	return call.BytesBody(whole), nil
+}
+
 // underWay returns how much longer than the fastest a frame took to arrive.
 func (m *Mux) underWay(sentAt boottime.Time) boottime.Time {
 	difference := m.clock() - sentAt
--- a/hosted/gate.go
+++ b/hosted/gate.go
@@ -49,13 +49,23 @@
 		return r
 	}
 	deadline := arrived + c.Left
-	ticket, refusal := e.Queue.Offer(slotqueue.Work{
+	work := slotqueue.Work{
 		Class:    slotqueue.Class{Kind: c.Kind, Rank: c.Rank, Nested: c.Nested},
 		TargetBy: arrived + c.TargetLeft, DeadlineBy: deadline,
-	}, arrived)
+	}
+	remote, _ := c.Body.(call.RemoteBody)
+	if remote != nil {
+		work.Preparing, work.ReadyBy = true, arrived+remote.Expected()
+	}
+	ticket, refusal := e.Queue.Offer(work, arrived)
 	if refusal != nil {
 		return g.done(c, e, call.Result{Fate: call.Refused, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}, 0, 0)
 	}
+	if remote != nil {
+		if reason := g.fetch(ctx, e, ticket, c, remote); reason != "" {
+			return g.done(c, e, call.Result{Fate: call.Refused, Reason: reason}, g.clock()-arrived, 0)
+		}
+	}
 	if reason := g.await(ctx, e, ticket); reason != "" {
 		return g.done(c, e, call.Result{Fate: call.Refused, Reason: reason}, g.clock()-arrived, 0)
 	}
@@ -84,6 +94,29 @@
 	return g.done(c, e, r, started-arrived, g.clock()-started)
 }
 
+// fetch brings the body of a call to this host before the call gets a slot, so that
+// no slot is held while a long body crosses a narrow link. It returns the reason
+// when the call cannot go on.
+func (g *Gate) fetch(ctx context.Context, e *Endpoint, ticket *slotqueue.Ticket, c *call.Call, remote call.RemoteBody) string {
+	now := g.clock()
+	inTime, cancel := context.WithTimeout(ctx, max(0, e.Queue.LatestStart(ticket, now)-now))
+	defer cancel()
+	body, err := remote.Fetch(inTime)
+	if err == nil {
+		c.Body = body
+		e.Queue.Prepared(ticket, g.clock())
+		return ""
+	}
+	e.Queue.Withdraw(ticket)
+	switch {
+	case ctx.Err() != nil:
+		return call.ReasonCancelled
+	case inTime.Err() != nil:
+		return call.ReasonTooLate
+	}
+	return call.ReasonBodyMissing
+}
+
 // await waits for the ticket's slot. It returns the reason when there is none.
 func (g *Gate) await(ctx context.Context, e *Endpoint, ticket *slotqueue.Ticket) string {
 	select {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -48,7 +48,7 @@
 
 func newHostOn(l net.Listener, name string, incarnation int64, run runner) *host {
 	h := &host{
-		record: peers.Record{Host: mesh.HostID(name), Address: l.Addr().String(), FailureDomain: "d", Incarnation: incarnation},
+		record: peers.Record{Host: mesh.HostID(name), Address: l.Addr().String(), FailureDomain: "d", Incarnation: incarnation, LinkMbps: 8},
 		heard:  make(chan uint64, 1000), plans: make(chan routeplan.Delta, 10),
 	}
 	h.Directory = peers.New(peers.Config{
@@ -147,6 +147,51 @@
 	})
 }
 
+// Guards against a body that crosses the link only once the call holds a slot, and
+// against one that is fetched although its call has ended.
+func TestBodyIsFetchedBeforeTheCallRuns(t *testing.T) {
+	Convey("a host with a link of 8 Mbit/s", t, func(c C) {
+		body := bytes.Repeat([]byte("x"), 200_000)
+		fetched := make(chan error, 1)
+		run := func(ctx context.Context, sent *call.Call) call.Result {
+			remote, ok := sent.Body.(call.RemoteBody)
+			c.So(ok, ShouldBeTrue)
+			c.So(remote.Expected(), ShouldEqual, 200*time.Millisecond)
+			if sent.ID == "2" {
+				var cancel context.CancelFunc
+				ctx, cancel = context.WithCancel(ctx)
+				cancel()
+			}
+			whole, err := remote.Fetch(ctx)
+			fetched <- err
+			if err != nil {
+				return call.Result{Fate: call.Refused, Reason: call.ReasonBodyMissing}
+			}
+			got, err := io.ReadAll(whole)
+			c.So(err, ShouldBeNil)
+			c.So(bytes.Equal(got, body), ShouldBeTrue)
+			c.So(whole.Rewind(), ShouldBeTrue)
+			c.So(remote.Expected(), ShouldEqual, 200*time.Millisecond)
+			return call.Result{Fate: call.Answered, Answer: &call.Answer{Status: 200}}
+		}
+		a, b := newHost("a", 1, echo), newHost("b", 2, run)
+		defer a.close()
+		defer b.close()
+		b.Learn(a.record)
+		a.sees(1)
+		Convey("a call that goes on", func() {
+			So(a.Offering("s")[0].Run(context.Background(), newCall(body)).Fate, ShouldEqual, call.Answered)
+			So(<-fetched, ShouldBeNil)
+		})
+		Convey("a call that has ended", func() {
+			ended := newCall(body)
+			ended.ID = "2"
+			So(a.Offering("s")[0].Run(context.Background(), ended).Fate, ShouldEqual, call.Refused)
+			So(<-fetched, ShouldNotBeNil)
+		})
+	})
+}
+
 // Guards against an answer that looks whole after its source broke off, and
 // against calls whose fate is reported wrongly when a link ends.
 func TestBrokenCalls(t *testing.T) {
--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -61,6 +61,11 @@
 	// caller gives up.
 	TargetBy   boottime.Time
 	DeadlineBy boottime.Time
+	// Preparing is set for a call that cannot start yet, such as one whose body is
+	// still at another host. It takes its place in the queue and holds no slot
+	// until Prepared. ReadyBy is when that is expected.
+	Preparing bool
+	ReadyBy   boottime.Time
 }
 
 // Ticket is a call that waits for a slot or holds one.
@@ -69,10 +74,11 @@
 	// number orders tickets by their arrival.
 	number uint64
 	// ready receives true with a slot and false with a refusal.
-	ready   chan bool
-	waiting bool
-	holds   bool
-	reason  string
+	ready     chan bool
+	waiting   bool
+	preparing bool
+	holds     bool
+	reason    string
 }
 
 // Ready delivers one value: true when the call got a slot, false when it was
@@ -145,8 +151,8 @@
 		return nil, &Refusal{Reason: call.ReasonTooLate}
 	}
 	q.arrivals++
-	t := &Ticket{work: w, number: q.arrivals, ready: make(chan bool, 1)}
-	if q.running < q.slots && len(q.waiting) == 0 {
+	t := &Ticket{work: w, number: q.arrivals, ready: make(chan bool, 1), preparing: w.Preparing}
+	if q.running < q.slots && !w.Preparing && q.next(now) < 0 {
 		q.start(t)
 		return t, nil
 	}
@@ -170,7 +176,7 @@
 			late++
 		}
 	}
-	start := now + q.wait(ahead, now)
+	start := max(now+q.wait(ahead, now), t.work.ReadyBy)
 	if start+run > t.work.DeadlineBy {
 		return q.full(t, now)
 	}
@@ -199,7 +205,8 @@
 // Slots of nested calls do not come free for others while nested calls arrive.
 func (q *Queue) wait(ahead int, now boottime.Time) time.Duration {
 	slots := max(1, q.slots-q.nested)
-	return time.Duration(float64(ahead+1) * float64(q.overall.read(now)) / float64(slots))
+	free := max(0, q.slots-q.running)
+	return time.Duration(float64(max(0, ahead+1-free)) * float64(q.overall.read(now)) / float64(slots))
 }
 
 // late reports whether the call would miss its target if it started now.
@@ -242,13 +249,31 @@
 	t.ready <- true
 }
 
+// next returns the index of the waiting call that gets the next slot, -1 when
+// none can start.
+func (q *Queue) next(now boottime.Time) int {
+	best := -1
+	for i, t := range q.waiting {
+		if !t.preparing && (best < 0 || q.before(t, q.waiting[best], now)) {
+			best = i
+		}
+	}
+	return best
+}
+
+// Prepared makes a preparing call ready for a slot.
+func (q *Queue) Prepared(t *Ticket, now boottime.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	t.preparing = false
+	q.dispatch(now)
+}
+
 func (q *Queue) dispatch(now boottime.Time) {
-	for q.running < q.slots && len(q.waiting) > 0 {
-		best := 0
-		for i := range q.waiting {
-			if q.before(q.waiting[i], q.waiting[best], now) {
-				best = i
-			}
+	for q.running < q.slots {
+		best := q.next(now)
+		if best < 0 {
+			return
 		}
 		t := q.waiting[best]
 		q.remove(best)
--- a/slotqueue/slotqueue_test.go
+++ b/slotqueue/slotqueue_test.go
@@ -78,6 +78,49 @@
 	})
 }
 
+// Guards against slots that are held by calls which cannot start yet, and against
+// such calls that lose their place or are accepted in vain.
+func TestCallThatIsNotReadyHoldsNoSlot(t *testing.T) {
+	Convey("one slot, runs of 100 ms", t, func() {
+		q, held := busy(1, 100*ms, 0)
+		preparing := func(readyBy, target time.Duration) (*slotqueue.Ticket, *slotqueue.Refusal) {
+			w := work(0, false, 0, target, 2*time.Second)
+			w.Preparing, w.ReadyBy = true, readyBy
+			return q.Offer(w, 0)
+		}
+		first, refusal := preparing(300*ms, time.Second)
+		So(refusal, ShouldBeNil)
+		So(q.Load(), ShouldResemble, call.Load{Running: 1, Waiting: 1})
+		Convey("others start while it is prepared", func() {
+			q.Done(held[0], 100*ms, 0)
+			other, refusal := q.Offer(work(2, false, 0, time.Second, time.Second), 0)
+			So(refusal, ShouldBeNil)
+			So(granted(other), ShouldBeTrue)
+			q.Done(other, 100*ms, 0)
+			So(granted(first), ShouldBeFalse)
+			q.Prepared(first, 0)
+			So(granted(first), ShouldBeTrue)
+		})
+		Convey("it keeps its place", func() {
+			other, refusal := q.Offer(work(0, false, 0, time.Second, time.Second), 0)
+			So(refusal, ShouldBeNil)
+			q.Prepared(first, 0)
+			q.Done(held[0], 100*ms, 0)
+			So(granted(first), ShouldBeTrue)
+			So(granted(other), ShouldBeFalse)
+		})
+		Convey("it is refused at once when it would be ready too late", func() {
+			_, refusal := preparing(950*ms, time.Second)
+			So(refusal.Reason, ShouldEqual, call.ReasonFull)
+		})
+		Convey("it is refused when the endpoint leaves", func() {
+			q.Close(call.ReasonLeaving)
+			q.Prepared(first, 0)
+			So(<-first.Ready(), ShouldBeFalse)
+		})
+	})
+}
+
 // Guards against urgent work behind other work, and against calls whose callers
 // hold slots behind new ones.
 func TestOrderOfWaitingCalls(t *testing.T) {
