--- a/entrance/forward.go
+++ b/entrance/forward.go
@@ -189,7 +189,7 @@
 		}
 		candidates = append(candidates, placement.Candidate{
 			SameDomain: p.FailureDomain() == a.f.Domain, Slots: e.Slots, Occupied: p.Occupied(), MeanRun: e.MeanRun,
-			FailShare: float64(e.FailPercent) / 100, Cold: e.Cold, Tried: a.tried[p.Host()],
+			FailShare: float64(e.FailPercent) / 100, Cold: e.Cold, Doubtful: p.Doubtful(), Tried: a.tried[p.Host()],
 		})
 		targets = append(targets, target{p.Host(), p})
 	}
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -27,6 +27,9 @@
 	// silenceLimit is the silence after which a link is given up. Half of the
 	// time after which the users' platform counts a machine as out of touch.
 	silenceLimit = 1500 * time.Millisecond
+	// doubtAfter is the silence from which a host gets calls only when others
+	// cannot take them: a report is overdue by more than the ticks may add.
+	doubtAfter = 800 * time.Millisecond
 	// redialLeast and redialMost bound the pause between dials of a host.
 	redialLeast = 200 * time.Millisecond
 	redialMost  = 1500 * time.Millisecond
@@ -77,6 +80,8 @@
 	// and opened the calls that this host sent since.
 	occupied atomic.Int64
 	opened   atomic.Int64
+	// doubtful is set while a report of the peer is overdue.
+	doubtful atomic.Bool
 
 	learned time.Time
 	lastUp  time.Time
@@ -144,7 +149,7 @@
 			d.report()
 			lastReport = now
 		}
-		d.closeSilent(now)
+		d.checkSilent(now)
 		d.dialDue(ctx, now)
 	}
 }
@@ -328,6 +333,10 @@
 // report, and those sent to it since.
 func (p *Peer) Occupied() int { return int(p.occupied.Load() + p.opened.Load()) }
 
+// Doubtful reports whether a report of the peer is overdue: it may be dead or cut
+// off.
+func (p *Peer) Doubtful() bool { return p.doubtful.Load() }
+
 // Run sends a call to the peer.
 func (p *Peer) Run(ctx context.Context, c *call.Call) call.Result {
 	mux := p.mux.Load()
--- a/peers/links.go
+++ b/peers/links.go
@@ -9,11 +9,20 @@
 	"geraniumnotch.example/geraniumnotch/transport"
 )
 
-func (d *Directory) closeSilent(now time.Time) {
+// checkSilent closes the links that bring nothing, and marks the peers whose report
+// is overdue.
+func (d *Directory) checkSilent(now time.Time) {
 	for _, l := range d.manager.Links() {
-		if now.Sub(l.LastReceived()) > silenceLimit {
+		silent := now.Sub(l.LastReceived())
+		if silent > silenceLimit {
 			l.Close()
+			continue
+		}
+		d.mu.Lock()
+		if p := d.peers[l.Peer()]; p != nil {
+			p.doubtful.Store(silent > doubtAfter)
 		}
+		d.mu.Unlock()
 	}
 }
 
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -36,6 +36,8 @@
 	version atomic.Uint64
 	heard   chan uint64
 	plans   chan routeplan.Delta
+	// paused is set while the host does not report.
+	paused atomic.Bool
 }
 
 func newHost(name string, incarnation int64, run runner) *host {
@@ -54,6 +56,9 @@
 	h.Directory = peers.New(peers.Config{
 		Self: h.record, Clock: boottime.Now, Local: run,
 		Report: func() peers.Status {
+			for h.paused.Load() {
+				time.Sleep(time.Millisecond)
+			}
 			return peers.Status{PlanVersion: h.version.Load(), Endpoint: &peers.EndpointStatus{ID: "e", Service: "s", Slots: 3}}
 		},
 		Plan: func(have uint64) (routeplan.Delta, bool) {
@@ -77,8 +82,12 @@
 	return h
 }
 
+// pause makes the host silent until it is closed.
+func (h *host) pause() { h.paused.Store(true) }
+
 func (h *host) close() {
 	h.stop()
+	h.paused.Store(false)
 	h.Manager().Close()
 	_ = h.server.Close()
 }
@@ -300,3 +309,34 @@
 		So(a.AskPlan("unknown", 4), ShouldNotBeNil)
 	})
 }
+
+// Guards against calls that are sent to a host which no longer answers while its
+// link is not given up yet.
+func TestSilentHostIsDoubtfulBeforeItsLinkEnds(t *testing.T) {
+	Convey("a host that stops reporting", t, func() {
+		a, b := newHost("a", 1, echo), newHost("b", 2, echo)
+		defer a.close()
+		defer b.close()
+		b.Learn(a.record)
+		a.sees(1)
+		p := a.Offering("s")[0]
+		So(p.Doubtful(), ShouldBeFalse)
+		b.pause()
+		stopped := time.Now()
+		waitFor(p.Doubtful)
+		So(time.Since(stopped), ShouldBeLessThan, 1200*time.Millisecond)
+		So(a.Offering("s"), ShouldHaveLength, 1)
+		waitFor(func() bool { return len(a.Offering("s")) == 0 })
+	})
+	Convey("a host that goes on reporting", t, func() {
+		a, b := newHost("a", 1, echo), newHost("b", 2, echo)
+		defer a.close()
+		defer b.close()
+		b.Learn(a.record)
+		a.sees(1)
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			So(a.Offering("s")[0].Doubtful(), ShouldBeFalse)
+		}
+	})
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,6 +29,9 @@
 	otherDomain        = 0.97
 	otherDomainPerByte = 5e-6
 	otherDomainLeast   = 0.5
+	// doubtfulFactor is the factor on the value of an endpoint whose host is silent:
+	// such a host is seldom back before its link is given up.
+	doubtfulFactor = 0.2
 	// runSpread shapes the share of calls that run within a time: 1-exp(-1.1x) for
 	// x mean run times, near that of run times that spread by 0.8 of their mean,
 	// as the users' do.
@@ -63,6 +66,8 @@
 	// FailShare is the recent share of failed answers, 0 to 1.
 	FailShare float64
 	Cold      bool
+	// Doubtful is set when the host has not reported for longer than it should.
+	Doubtful bool
 	// Tried is set when the call has been refused or failed there.
 	Tried bool
 }
@@ -173,7 +178,7 @@
 // be preferred.
 func (c *Candidate) room(typical expectation, targetLeft time.Duration) float64 {
 	free := roomShare*c.slots(typical) - float64(c.Occupied)
-	if c.Tried || !c.SameDomain || c.FailShare >= failingShare || free < 1 {
+	if c.Tried || c.Doubtful || !c.SameDomain || c.FailShare >= failingShare || free < 1 {
 		return 0
 	}
 	// A trial shows whether an endpoint is fast enough.
@@ -199,5 +204,8 @@
 	if !c.SameDomain {
 		value *= call.farFactor()
 	}
+	if c.Doubtful {
+		value *= doubtfulFactor
+	}
 	return value
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -27,6 +27,7 @@
 		"all slots in use": func(c *placement.Candidate) { c.Occupied = 20 },
 		"failing":          func(c *placement.Candidate) { c.FailShare = 0.5 },
 		"too slow":         func(c *placement.Candidate) { c.MeanRun = 400 * ms },
+		"silent":           func(c *placement.Candidate) { c.Doubtful = true },
 		"tried before":     func(c *placement.Candidate) { c.Tried = true },
 		"no slots":         func(c *placement.Candidate) { c.Slots = 0 },
 	} {
