A call whose body is not complete at the other host has not run

The sender took every call that it had opened for one that may have run, and clients cannot repeat an upload after 502. Change: since the gate fetches a body before the call gets a slot, the sender knows that a call has not run while bytes of its body are not sent. Such a call is refused when the link ends, and goes to another host. Test: TestCallWithoutItsBodyHasNotRun (the link ends before and after the fetch).

--- a/hop/mux.go
+++ b/hop/mux.go
@@ -38,11 +38,16 @@
 // outgoing is a call that this host sent.
 type outgoing struct {
 	result chan call.Result
-	// body is the rest of the request's body, sent once there is credit.
 	flow   *flow
 	answer *pipe
+	// unsent is the number of bytes that are missing at the other host before it
+	// may start the call, 0 for calls that it may start at once.
+	unsent atomic.Int64
 }
 
+// mayHaveRun reports whether the other host had all that it needs to start.
+func (o *outgoing) mayHaveRun() bool { return o.unsent.Load() <= 0 }
+
 // incoming is a call that the peer sent.
 type incoming struct {
 	cancel context.CancelFunc
@@ -80,6 +85,9 @@
 	o.answer = newPipe(func(n int) {
 		_ = m.send(transport.KindAnswerCredit, creditFrame{Stream: id, Bytes: n}) // A lost link ends the stream.
 	})
+	if fetchable(open.More, c.BodyBytes) {
+		o.unsent.Store(c.BodyBytes)
+	}
 	frame, err := transport.Encode(transport.KindCallOpen, open)
 	if err != nil || !m.begin(id, o) {
 		return call.Result{Fate: call.Refused, Reason: call.ReasonNoLink}
@@ -90,6 +98,7 @@
 	}
 	if rest != nil {
 		go copyBody(rest, o.flow, func(data []byte, end, broken bool) error {
+			o.unsent.Add(-int64(len(data)))
 			return m.send(transport.KindCallData, dataFrame{Stream: id, Data: data, End: end, Broken: broken})
 		})
 	}
@@ -99,10 +108,14 @@
 	case <-ctx.Done():
 		m.end(id)
 		_ = m.send(transport.KindCallCancel, cancelFrame{Stream: id}) // A lost link cancels as well.
-		return call.Result{Fate: call.Expired, Reason: call.ReasonCancelled, Sent: true}
+		return call.Result{Fate: call.Expired, Reason: call.ReasonCancelled, Sent: o.mayHaveRun()}
 	}
 }
 
+// fetchable reports whether the other host fetches the whole body before it starts
+// the call.
+func fetchable(more bool, bytes int64) bool { return more && bytes >= 0 && bytes <= fetchableBytes }
+
 // finish ends the stream unless the answer's body is still to come.
 func (m *Mux) finish(id uint64, o *outgoing, result call.Result) call.Result {
 	if result.Answer == nil || result.Answer.Stream == nil {
@@ -176,8 +189,8 @@
 	return true
 }
 
-// Close fails all calls of the link: those sent may have run, those received are
-// cancelled.
+// Close fails all calls of the link: those sent may have run unless their body is
+// not complete at the other host, those received are cancelled.
 func (m *Mux) Close() {
 	m.mu.Lock()
 	m.closed = true
@@ -187,7 +200,11 @@
 	for _, o := range sent {
 		o.flow.close()
 		o.answer.finish(ErrLinkLost)
-		o.deliver(call.Result{Fate: call.Broken, Reason: call.ReasonLinkLost, Sent: true})
+		if o.mayHaveRun() {
+			o.deliver(call.Result{Fate: call.Broken, Reason: call.ReasonLinkLost, Sent: true})
+		} else {
+			o.deliver(call.Result{Fate: call.Refused, Reason: call.ReasonLinkLost})
+		}
 	}
 	for _, in := range received {
 		in.stop(ErrLinkLost)
@@ -252,7 +269,7 @@
 		})
 		body := remoteBody{in: in, bytes: f.BodyBytes, ended: ctx.Done()}
 		c.Body = &body
-		if f.BodyBytes >= 0 && f.BodyBytes <= fetchableBytes {
+		if fetchable(f.More, f.BodyBytes) {
 			c.Body = &fetchableBody{body}
 		}
 	} else if f.HasBody {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -201,6 +201,41 @@
 	})
 }
 
+// Guards against a call that is reported as run, and so not sent elsewhere, though
+// its body never was complete at the other host.
+func TestCallWithoutItsBodyHasNotRun(t *testing.T) {
+	Convey("the link ends before the body is fetched, and after", t, func() {
+		reached := make(chan struct{}, 2)
+		fetch := false
+		run := func(ctx context.Context, c *call.Call) call.Result {
+			if fetch {
+				if _, err := c.Body.(call.RemoteBody).Fetch(ctx); err != nil {
+					return call.Result{Fate: call.Refused}
+				}
+			}
+			reached <- struct{}{}
+			<-ctx.Done()
+			return call.Result{Fate: call.Expired, Sent: true}
+		}
+		for _, fetched := range []bool{false, true} {
+			fetch = fetched
+			a, b := newHost("a", 1, echo), newHost("b", 2, run)
+			b.Learn(a.record)
+			a.sees(1)
+			result := make(chan call.Result, 1)
+			go func() {
+				result <- a.Offering("s")[0].Run(context.Background(), newCall(bytes.Repeat([]byte("x"), 200_000)))
+			}()
+			<-reached
+			b.close()
+			r := <-result
+			So(r.Sent, ShouldEqual, fetched)
+			So(r.Fate == call.Refused, ShouldEqual, !fetched)
+			a.close()
+		}
+	})
+}
+
 // Guards against an answer that looks whole after its source broke off, and
 // against calls whose fate is reported wrongly when a link ends.
 func TestBrokenCalls(t *testing.T) {
