Lines that are logged after the end of the log are dropped

Change: the queue of lines is never closed; lines after Close are dropped and counted. The signals are taken first of all in the program; before its main function runs nothing can take them. Test: TestWriteAfterClose.

--- a/asynclog/asynclog.go
+++ b/asynclog/asynclog.go
@@ -18,18 +18,26 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	once    sync.Once
+	closing chan struct{}
 	done    chan struct{}
 }
 
 // New returns a writer that passes lines on to out.
 func New(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, queueLines), done: make(chan struct{})}
+	w := &Writer{out: out, lines: make(chan []byte, queueLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
 
-// Write queues a line. It never waits and never fails.
+// Write queues a line. It never waits and never fails. After Close lines are
+// dropped and counted: parts of a program that ends may still log.
 func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case <-w.closing:
+		w.dropped.Add(1)
+		return len(line), nil
+	default:
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -43,27 +51,37 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	var batch []byte
-	for line := range w.lines {
-		batch = append(batch[:0], line...)
-		for more := true; more; {
-			select {
-			case next, open := <-w.lines:
-				if more = open; open {
-					batch = append(batch, next...)
-				}
-			default:
-				more = false
+	for {
+		select {
+		case line := <-w.lines:
+			w.pass(line)
+		case <-w.closing:
+			if len(w.lines) == 0 {
+				return
 			}
+			w.pass(<-w.lines)
 		}
-		if _, err := w.out.Write(batch); err != nil {
-			w.dropped.Add(1)
+	}
+}
+
+// pass writes a line and those that wait behind it.
+func (w *Writer) pass(line []byte) {
+	batch := append([]byte(nil), line...)
+	for more := true; more; {
+		select {
+		case next := <-w.lines:
+			batch = append(batch, next...)
+		default:
+			more = false
 		}
 	}
+	if _, err := w.out.Write(batch); err != nil {
+		w.dropped.Add(1)
+	}
 }
 
-// Close writes the lines that wait. Write must not be called afterwards.
+// Close writes the lines that wait.
 func (w *Writer) Close() {
-	w.once.Do(func() { close(w.lines) })
+	w.once.Do(func() { close(w.closing) })
 	<-w.done
 }
--- a/asynclog/asynclog_test.go
+++ b/asynclog/asynclog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"sync"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -47,3 +48,30 @@
 		So(bytes.Count(out.Bytes(), []byte("line\n")), ShouldEqual, 2001-dropped)
 	})
 }
+
+// Guards against a process that dies at its end, when one part logs after the
+// writer was closed.
+func TestWriteAfterClose(t *testing.T) {
+	Convey("parts that log while the writer is closed", t, func() {
+		var out bytes.Buffer
+		w := asynclog.New(&out)
+		var writers sync.WaitGroup
+		for range 4 {
+			writers.Add(1)
+			go func() {
+				defer writers.Done()
+				for range 1000 {
+					_, _ = w.Write([]byte("line\n")) // Write does not fail.
+				}
+			}()
+		}
+		w.Close()
+		writers.Wait()
+		before := w.Dropped()
+		n, err := w.Write([]byte("late\n"))
+		So(err, ShouldBeNil)
+		So(n, ShouldEqual, 5)
+		So(w.Dropped(), ShouldEqual, before+1)
+		So(out.String(), ShouldNotContainSubstring, "late")
+	})
+}
--- a/hostnode/main.go
+++ b/hostnode/main.go
@@ -65,6 +65,9 @@
 }
 
 func run(path, level string, stdout, stderr io.Writer) int {
+	// First of all: a reload signal that nobody takes ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	lines := asynclog.New(stdout)
 	defer lines.Close()
 	logger := hclog.New(&hclog.LoggerOptions{
@@ -77,8 +80,6 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(n.settings.Load().MemoryMB<<20)))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	if err := n.Start(); err != nil {
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
