A stopping node ends only when no request is being read

The node ended when no request was waiting for its answer; one that was being read at that moment, or that came on a new connection just then, was passed on and lost with the process. Change: connections are counted from their accept, CloseIdle reports those from which a request is being read, and the node closes its listener and looks again before it ends. Test: TestRequestThatIsBeingReadKeepsTheNodeUp.

--- a/entrance/entrance_test.go
+++ b/entrance/entrance_test.go
@@ -422,6 +422,38 @@
 	})
 }
 
+// Guards against a request that is read while the node decides that nothing is
+// under way, and that is lost when the process ends.
+func TestRequestThatIsBeingReadKeepsTheNodeUp(t *testing.T) {
+	Convey("the first bytes of a request have been read", t, func() {
+		w := newWorld(func(out http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(out, "done") // The client checks the body.
+		})
+		defer w.close()
+		w.plan.Offer(testPlan(1))
+		c, r := w.dial()
+		defer func() { _ = c.Close() }()
+		request := get("1", "/read/1")
+		_, err := io.WriteString(c, request[:10])
+		So(err, ShouldBeNil)
+		now := boottime.Now()
+		w.entry.Drain(now, now+time.Minute)
+		time.Sleep(50 * time.Millisecond)
+		So(w.entry.Active(), ShouldEqual, 0)
+		So(w.entry.CloseIdle(), ShouldEqual, 1)
+		_, err = io.WriteString(c, request[10:])
+		So(err, ShouldBeNil)
+		status, body, _ := answer(r)
+		So(status, ShouldEqual, 200)
+		So(body, ShouldEqual, "done")
+		_, err = r.ReadByte()
+		So(err, ShouldEqual, io.EOF)
+		for end := time.Now().Add(time.Second); w.entry.CloseIdle() != 0; time.Sleep(time.Millisecond) {
+			So(time.Now(), ShouldHappenBefore, end)
+		}
+	})
+}
+
 // Guards against a repeat that follows from a refused nested call.
 func TestNestedFailureIsNotRepeated(t *testing.T) {
 	Convey("an endpoint whose nested call finds no route", t, func() {
--- a/entrance/server.go
+++ b/entrance/server.go
@@ -109,7 +109,8 @@
 			}
 			return errors.Wrap(err, "entrance: accept")
 		}
-		go s.connect(c)
+		// Counted before anything is read from it.
+		go s.connect(s.register(c))
 	}
 }
 
@@ -144,15 +145,21 @@
 // Active returns the number of requests that are not answered yet.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
-// CloseIdle closes the connections on which no request is under way.
-func (s *Server) CloseIdle() {
+// CloseIdle closes the connections on which no request is under way. It returns
+// the number of the others: a request is being read from them or not answered yet.
+func (s *Server) CloseIdle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	open := 0
 	for c := range s.conns {
-		if c.pending.Load() == 0 && c.state.CompareAndSwap(stateIdle, stateClosed) {
+		switch {
+		case c.pending.Load() == 0 && c.state.CompareAndSwap(stateIdle, stateClosed):
 			_ = c.net.Close()
+		case c.pending.Load() != 0 || c.state.Load() != stateClosed:
+			open++
 		}
 	}
+	return open
 }
 
 // connection is a connection of a client.
@@ -202,27 +209,33 @@
 
 const unlimited = 1 << 62
 
-func (s *Server) connect(raw net.Conn) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	c := &connection{server: s, net: raw, limit: &headLimit{Conn: raw}, ctx: ctx}
+// register adds a connection.
+func (s *Server) register(raw net.Conn) *connection {
+	c := &connection{server: s, net: raw, limit: &headLimit{Conn: raw}, tail: make(chan struct{})}
 	c.r = bufio.NewReaderSize(c.limit, readBufferBytes)
-	c.tail = make(chan struct{})
 	close(c.tail)
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
-	s.mu.Unlock()
+	return c
+}
+
+// connect serves a connection until its end.
+func (s *Server) connect(c *connection) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c.ctx = ctx
 	defer func() {
 		s.mu.Lock()
+		defer s.mu.Unlock()
 		delete(s.conns, c)
-		s.mu.Unlock()
 	}()
 	c.readRequests()
 	if c.gone() {
 		cancel()
 	}
 	<-c.tail
-	_ = raw.Close()
+	_ = c.net.Close()
 }
 
 // gone waits until the client closes the connection or all requests have been
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -66,8 +66,10 @@
 	listedAt  atomic.Int64
 	reloading sync.Mutex
 	listeners []net.Listener
-	servers   []*http.Server
-	cancel    context.CancelFunc
+	// calls is the listener for clients.
+	calls   net.Listener
+	servers []*http.Server
+	cancel  context.CancelFunc
 }
 
 // New assembles a node with the settings of a file. It starts nothing.
@@ -177,6 +179,7 @@
 		n.servers = append(n.servers, server)
 		go func() { _ = server.Serve(l) }() // Ends when the listener is closed.
 	}
+	n.calls = calls
 	go func() { _ = n.entry.Serve(calls) }() // Ends when the listener is closed.
 	go n.keeper.run(ctx)
 	go n.registrar.run(ctx)
@@ -248,9 +251,10 @@
 	n.directory.Changed()
 	eventStopping.Log(n.logger, "calls", n.entry.Active())
 	for time.Since(begun) < limit {
-		if time.Since(begun) > noticeTime {
-			n.entry.CloseIdle()
-			if n.entry.Active() == 0 && n.busy() == 0 {
+		if time.Since(begun) > noticeTime && n.entry.CloseIdle() == 0 && n.busy() == 0 {
+			// A request may come on a new connection until the listener is closed.
+			_ = n.calls.Close() // It may be closed already.
+			if n.entry.CloseIdle() == 0 && n.busy() == 0 {
 				break
 			}
 		}
