Fault soak of the real processes

Adds package soak: four processes of geraniumnotch-host, their endpoints, clients and the stand-in of the store, with faults from outside by a seeded plan; promises are checked from what clients and endpoints see (docs/design/soak.md). The setting peers-advertised lets a forwarder stand before a host; platform/standin gets configurations with several kinds of route.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,14 @@
 processes:
 	bash scripts/processes.sh
 
+.PHONY: soak
+
+# soak runs the fault soak with the seeds FIRST to FIRST+SEEDS-1, 20 s each.
+FIRST ?= 1
+SEEDS ?= 50
+soak:
+	$(GO) test ./soak -count=1 -v -timeout 3h -soak.first=$(FIRST) -soak.seeds=$(SEEDS)
+
 .PHONY: docs
 
 # docs writes the pages that are made from the code.
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -351,6 +351,14 @@
 		So(s.PlanDeadline, ShouldEqual, 2*time.Second)
 		So(s.Repeats.Slack, ShouldEqual, 58)
 		So(s.Listen.Ready, ShouldEqual, "10.0.0.1:4")
+		So(s.Listen.PeersAdvertised, ShouldEqual, s.Listen.Peers)
+	})
+	Convey("an address for peers that differs from the one that is listened on", t, func() {
+		s, err := ParseSettings([]byte(strings.Replace(good, "[listen]\n", "[listen]\npeers-advertised = 10.0.0.9:9\n", 1)))
+		So(err, ShouldBeNil)
+		So(s.Listen.PeersAdvertised, ShouldEqual, "10.0.0.9:9")
+		_, err = ParseSettings([]byte(strings.Replace(good, "[listen]\n", "[listen]\npeers-advertised = here\n", 1)))
+		So(err.Error(), ShouldContainSubstring, "peers-advertised")
 	})
 	Convey("all faults are named at once", t, func() {
 		bad := strings.NewReplacer("memory-mb = 200", "memory-mb = few", "10.0.0.1:7", "store.example:7", "drain-s = 6", "").Replace(good)
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -101,7 +101,7 @@
 	}
 	n.registration = hosted.NewRegistration(s.Endpoint, boottime.Now, func(*hosted.Endpoint) { n.directory.Changed() })
 	gate := hosted.NewGate(n.registration, platform.Headers{}, boottime.Now, watch)
-	record := peers.Record{Host: s.Host, Address: s.Listen.Peers, FailureDomain: s.FailureDomain, Incarnation: n.started.UnixNano(), LinkMbps: s.LinkMbps}
+	record := peers.Record{Host: s.Host, Address: s.Listen.PeersAdvertised, FailureDomain: s.FailureDomain, Incarnation: n.started.UnixNano(), LinkMbps: s.LinkMbps}
 	n.directory = peers.New(peers.Config{
 		Self: record, Logger: logger, Clock: boottime.Now, Local: gate,
 		Report: n.report, Plan: n.keeper.difference, OfferPlan: n.keeper.offerFromPeer,
--- a/hostnode/settings.go
+++ b/hostnode/settings.go
@@ -36,6 +36,9 @@
 	// Calls is for clients and the endpoint of the host, Peers for other hosts,
 	// Ready and Announcements for the platform and the endpoint.
 	Calls, Peers, Ready, Announcements, Metrics string
+	// PeersAdvertised is the address of Peers for other hosts, which differs
+	// where something forwards to it.
+	PeersAdvertised string
 }
 
 // maxSettingsBytes bounds a settings file, which has about 30 lines.
@@ -80,6 +83,10 @@
 			Ratio: p.fraction("bounds", "repeat-ratio"), Slack: p.fraction("bounds", "repeat-slack"), Window: p.seconds("bounds", "repeat-window-s"),
 		},
 	}
+	s.Listen.PeersAdvertised = s.Listen.Peers
+	if p.values["listen.peers-advertised"].Text != "" {
+		s.Listen.PeersAdvertised = p.address("listen", "peers-advertised")
+	}
 	s.Endpoint = hosted.Identity{
 		Service: mesh.ServiceName(p.text("endpoint", "service")), Address: p.address("endpoint", "address"), FailureDomain: s.FailureDomain,
 	}
