Nested calls leave a fifth of the slots to calls of clients

Change: while nested calls hold four fifths of the slots, a call of a client that can meet its target goes next. Test: TestNestedCallsLeaveAFloorToOthers: 0.006 of the slots before, 0.19 to 0.3 after.

--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -34,6 +34,10 @@
 	// the spread keeps those refused together from returning together.
 	retryLeast = 0.15
 	retryMost  = 0.33
+	// otherShare is the share of the slots that nested calls leave to calls of
+	// clients which can meet their target. The brief keeps a floor of 0.2 for other
+	// work beside urgent work.
+	otherShare = 0.2
 	// smoothing is the weight of a new run time in the mean.
 	smoothing = 0.1
 	// forgetAfter is the time without samples after which a mean is not used. A
@@ -215,11 +219,16 @@
 }
 
 // before reports whether a goes before b: nested calls first, because their
-// callers hold slots; then calls that can meet their target; then by rank; then
+// callers hold slots, unless they hold their share of the slots; then calls that can meet their target; then by rank; then
 // by target, which puts returning callers before new ones.
 func (q *Queue) before(a, b *Ticket, now boottime.Time) bool {
 	if a.work.Class.Nested != b.work.Class.Nested {
-		return a.work.Class.Nested
+		client := a
+		if a.work.Class.Nested {
+			client = b
+		}
+		clientFirst := q.floorOwed() && !q.late(client, now)
+		return a.work.Class.Nested != clientFirst
 	}
 	if lateA, lateB := q.late(a, now), q.late(b, now); lateA != lateB {
 		return lateB
@@ -233,6 +242,12 @@
 	return a.number < b.number
 }
 
+// floorOwed reports whether nested calls hold their share of the slots, so that a
+// call of a client goes next.
+func (q *Queue) floorOwed() bool {
+	return float64(q.nested) >= (1-otherShare)*float64(q.slots)
+}
+
 func (q *Queue) mean(c Class, now boottime.Time) time.Duration {
 	if m := q.means[c]; m != nil {
 		return m.read(now)
--- a/slotqueue/slotqueue_test.go
+++ b/slotqueue/slotqueue_test.go
@@ -144,6 +144,38 @@
 	})
 }
 
+// Guards against calls of clients that get no slot while nested calls would fill all
+// of them.
+func TestNestedCallsLeaveAFloorToOthers(t *testing.T) {
+	Convey("ten slots, more nested calls and calls of clients than they run", t, func() {
+		q := slotqueue.New(10)
+		var running []*slotqueue.Ticket
+		got := map[bool]int{}
+		kinds := map[*slotqueue.Ticket]bool{}
+		for now := time.Duration(0); now < 10*time.Second; now += 10 * ms {
+			for _, nested := range []bool{true, false} {
+				if ticket, refusal := q.Offer(work(0, nested, now, time.Second, 2*time.Second), now); refusal == nil {
+					kinds[ticket] = nested
+				}
+			}
+			for ticket, nested := range kinds {
+				if granted(ticket) {
+					delete(kinds, ticket)
+					running = append(running, ticket)
+					got[nested]++
+				}
+			}
+			// One call in 10 ms ends: each runs for 100 ms.
+			if len(running) == 10 {
+				q.Done(running[0], 100*ms, now)
+				running = running[1:]
+			}
+		}
+		// The brief's floor for other work is 0.2.
+		So(float64(got[false])/float64(got[true]+got[false]), ShouldBeBetween, 0.19, 0.3)
+	})
+}
+
 // Guards against callers that are held although they cannot be served.
 func TestHopelessCallsAreRefusedAtOnce(t *testing.T) {
 	Convey("a full endpoint with runs of 100 ms", t, func() {
