--- a/placement/placement.go
+++ b/placement/placement.go
@@ -4,7 +4,7 @@
 // Load that it answers: endpoints of differing speed in several failure domains,
 // of which some are slow, failing or full. Calls stay in their failure domain
 // while its endpoints have room, because bytes between domains cost, and go
-// where they are expected to end first otherwise.
+// where most of them are expected to succeed in time otherwise.
 package placement
 
 import (
@@ -87,8 +87,7 @@
 }
 
 // Choose returns the index of the candidate for a call, or -1 when there is none
-// that was not tried. Random returns
-// numbers in [0, 1).
+// that was not tried. Random returns numbers in [0, 1).
 func Choose(candidates []Candidate, call Call, random func() float64) int {
 	typical := typicalRun(candidates)
 	if i := chooseNear(candidates, typical, call.TargetLeft, random); i >= 0 {
@@ -134,8 +133,8 @@
 type expectation struct {
 	// run is the mean over the endpoints whose mean run time is known.
 	run time.Duration
-	// trial is set when these are most of them.
-	trial bool
+	// mostKnown is set when these are more than half of the endpoints.
+	mostKnown bool
 }
 
 func typicalRun(candidates []Candidate) expectation {
@@ -149,11 +148,11 @@
 	if known == 0 {
 		return expectation{run: defaultRun}
 	}
-	return expectation{run: sum / time.Duration(known), trial: 2*known > len(candidates)}
+	return expectation{run: sum / time.Duration(known), mostKnown: 2*known > len(candidates)}
 }
 
 // trial reports whether the endpoint gets a few calls to learn its run time.
-func (c *Candidate) trial(typical expectation) bool { return c.MeanRun == 0 && typical.trial }
+func (c *Candidate) trial(typical expectation) bool { return c.MeanRun == 0 && typical.mostKnown }
 
 // slots is the number of slots that the choice counts on.
 func (c *Candidate) slots(typical expectation) float64 {
