--- a/soak/harm_test.go
+++ b/soak/harm_test.go
@@ -49,9 +49,9 @@
 	case 8:
 		w.breakStore([]standin.Fault{standin.Busy, standin.Limited, standin.Reset, standin.Lost, standin.Garbled, standin.Busy}[variant], lasts)
 	case 9:
-		h.drops.set(true)
+		h.drops.Store(true)
 		time.Sleep(lasts)
-		h.drops.set(false)
+		h.drops.Store(false)
 	default:
 		w.newVersion()
 	}
@@ -69,7 +69,7 @@
 	}
 	h.awaitMain()
 	begun := time.Now()
-	h.ending.set(true)
+	h.ending.Store(true)
 	h.signal(s)
 	select {
 	case <-h.exited:
@@ -131,6 +131,6 @@
 	for _, h := range w.hosts {
 		h.peers.set(pass, pass)
 		h.toStore.set(pass, pass)
-		h.drops.set(false)
+		h.drops.Store(false)
 	}
 }
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,9 +1,7 @@
 package soak
 
 import (
-	"io"
 	"net"
-	"strings"
 	"sync"
 	"time"
 )
@@ -121,5 +119,3 @@
 	p.set(pass, pass)
 	p.reset()
 }
-
-func stringsReader(s string) io.Reader { return strings.NewReader(s) }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -9,7 +9,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -60,10 +62,10 @@
 	peers    *proxy
 	toStore  *proxy
 	endpoint *http.Server
-	drops    toggle
+	drops    atomic.Bool
 	// life guards the process. ending is set while its end is wanted.
 	life    sync.Mutex
-	ending  toggle
+	ending  atomic.Bool
 	started time.Time
 	process *exec.Cmd
 	exited  chan struct{}
@@ -75,15 +77,6 @@
 	newest int
 }
 
-// toggle is a switch.
-type toggle struct {
-	mu sync.Mutex
-	on bool
-}
-
-func (f *toggle) set(on bool) { f.mu.Lock(); f.on = on; f.mu.Unlock() }
-func (f *toggle) get() bool   { f.mu.Lock(); defer f.mu.Unlock(); return f.on }
-
 func newWorld(dir string, random *rand.Rand) *world {
 	w := &world{dir: dir, random: random, store: standin.New(), done: make(chan struct{}), runs: map[string]int{}}
 	w.newVersion()
@@ -157,7 +150,7 @@
 	h.w.runs[id]++
 	h.w.mu.Unlock()
 	time.Sleep(time.Duration(10+rand.IntN(60)) * time.Millisecond)
-	if h.drops.get() && rand.IntN(3) == 0 {
+	if h.drops.Load() && rand.IntN(3) == 0 {
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = fmt.Fprintf(rw, "%s %s %d", id, h.service, len(body)) // The client sees what is missing.
@@ -200,7 +193,7 @@
 	if err != nil {
 		panic(err)
 	}
-	h.ending.set(false)
+	h.ending.Store(false)
 	h.started = time.Now()
 	process, exited := exec.Command(program, path), make(chan struct{})
 	process.Stdout, process.Stderr = log, log
@@ -210,7 +203,7 @@
 	go func() {
 		_ = process.Wait() // The exit status is read from the process.
 		_ = log.Close()    // Nothing more is written.
-		if !h.ending.get() {
+		if !h.ending.Load() {
 			h.w.fail("%s ended by itself: %v", h.name, process.ProcessState)
 		}
 		close(exited)
@@ -227,7 +220,7 @@
 func (h *host) kill() {
 	h.life.Lock()
 	defer h.life.Unlock()
-	h.ending.set(true)
+	h.ending.Store(true)
 	h.signal(syscall.SIGKILL)
 	<-h.exited
 }
@@ -237,7 +230,7 @@
 	client := &http.Client{Timeout: time.Second}
 	for sequence := 1; ; sequence++ {
 		path, body := standin.Heartbeat("i-"+h.name, h.address["endpoint"], h.service, "d", "ready", sequence)
-		if r, err := client.Post("http://"+h.address["announcements"]+path, "application/json", stringsReader(body)); err == nil {
+		if r, err := client.Post("http://"+h.address["announcements"]+path, "application/json", strings.NewReader(body)); err == nil {
 			_ = r.Body.Close() // Nothing is read from it.
 		}
 		select {
