--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -219,8 +219,9 @@
 }
 
 // before reports whether a goes before b: nested calls first, because their
-// callers hold slots, unless they hold their share of the slots; then calls that can meet their target; then by rank; then
-// by target, which puts returning callers before new ones.
+// callers hold slots, unless they hold their share of the slots; then calls that
+// can meet their target; then by rank; then by target, which puts returning
+// callers before new ones.
 func (q *Queue) before(a, b *Ticket, now boottime.Time) bool {
 	if a.work.Class.Nested != b.work.Class.Nested {
 		client := a
