--- a/hop/mux.go
+++ b/hop/mux.go
@@ -6,7 +6,6 @@
 	"io"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -287,51 +286,6 @@
 	return nil
 }
 
-// remoteBody asks for the body only when it is first read.
-type remoteBody struct {
-	in    *incoming
-	bytes int64
-	// ended is closed when the call has ended.
-	ended <-chan struct{}
-	begun bool
-}
-
-// Read returns the next bytes. It waits for the other host.
-func (b *remoteBody) Read(p []byte) (int, error) {
-	if !b.begun {
-		b.begun = true
-		if !b.in.permit.acquire(b.ended) {
-			return 0, ErrBodyBroken
-		}
-		b.in.body.credit(windowBytes)
-	}
-	return b.in.body.Read(p)
-}
-
-// Rewind reports whether nothing was read yet.
-func (b *remoteBody) Rewind() bool { return !b.begun }
-
-// fetchableBody is a body of known length that fits into memory.
-type fetchableBody struct{ remoteBody }
-
-// Expected is the time until the body would be here.
-func (b *fetchableBody) Expected() time.Duration { return b.in.permit.bodies.expected(b.bytes) }
-
-// Fetch reads the whole body.
-func (b *fetchableBody) Fetch(ctx context.Context) (call.Body, error) {
-	pending := &b.in.permit.bodies.pending
-	pending.Add(b.bytes)
-	defer pending.Add(-b.bytes)
-	stop := context.AfterFunc(ctx, func() { b.in.body.finish(ErrBodyBroken) })
-	defer stop()
-	b.ended = ctx.Done()
-	whole := make([]byte, b.bytes)
-	if _, err := io.ReadFull(b, whole); err != nil {
-		return nil, errors.Wrap(err, "hop: fetch body")
-	}
-	return call.BytesBody(whole), nil
-}
-
 // underWay returns how much longer than the fastest a frame took to arrive.
 func (m *Mux) underWay(sentAt boottime.Time) boottime.Time {
 	difference := m.clock() - sentAt
--- a/hop/pipe.go
+++ b/hop/pipe.go
@@ -120,9 +120,6 @@
 	return n
 }
 
-// refund gives back credit that was taken and not used.
-func (f *flow) refund(bytes int) { f.add(bytes) }
-
 // copyBody sends a body in chunks until it ends or the flow is closed.
 func copyBody(r io.Reader, f *flow, send func(data []byte, end, broken bool) error) {
 	for {
@@ -132,7 +129,7 @@
 		}
 		chunk := make([]byte, n)
 		got, err := io.ReadFull(r, chunk)
-		f.refund(n - got)
+		f.add(n - got) // Credit that was taken and not used.
 		end := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 		if sendErr := send(chunk[:got], end, err != nil && !end); sendErr != nil || err != nil {
 			return
--- a/placement/spread_test.go
+++ b/placement/spread_test.go
@@ -160,7 +160,7 @@
 }
 
 // Guards against hosts that all turn to one endpoint because its mean run time
-// rests on an answer that needed no work, after it has had no calls for a while.
+// rests on an answer that needed no work.
 func TestEndpointWithFewRunTimesIsNotFlooded(t *testing.T) {
 	Convey("fifteen endpoints at half of their capacity, two too slow for the target", t, func() {
 		const target = time.Second
--- a/soak/harm_test.go
+++ b/soak/harm_test.go
@@ -9,6 +9,9 @@
 	"geraniumnotch.example/geraniumnotch/platform/standin"
 )
 
+// cuts are the ways in which a proxy harms its connections.
+var cuts = [][2]way{{hold, hold}, {hold, pass}, {pass, hold}, {delay, delay}, {delay, pass}, {pass, delay}}
+
 // harm plays faults for a time. They overlap; each ends by itself.
 func (w *world) harm(length time.Duration) {
 	var running sync.WaitGroup
@@ -40,9 +43,9 @@
 		h.awaitMain()
 		h.signal(syscall.SIGHUP)
 	case 5:
-		w.cut(h, h.peers, [][2]way{{hold, hold}, {hold, pass}, {pass, hold}, {delay, delay}, {delay, pass}, {pass, delay}}[variant], lasts)
+		w.cut(h, h.peers, cuts[variant], lasts)
 	case 6:
-		w.cut(h, h.toStore, [][2]way{{hold, hold}, {hold, pass}, {pass, hold}, {delay, delay}, {delay, pass}, {pass, delay}}[variant], lasts)
+		w.cut(h, h.toStore, cuts[variant], lasts)
 	case 7:
 		h.harm(&h.broken)()
 		[]*proxy{h.peers, h.toStore}[variant%2].reset()
