ingress: log why a response was not written

A call whose response was dropped because its connection closed was logged with status 0 and no reason, like one whose client had left. It now has the reason connection_closed, which separates the first hypothesis of docs/incidents/lost-responses.md from the others.

--- a/call/call.go
+++ b/call/call.go
@@ -104,6 +104,7 @@
 	ReasonNoResponse         = "no_answer"
 	ReasonCancelled          = "caller_left"
 	ReasonBodyIncomplete     = "request_body_incomplete"
+	ReasonConnectionClosed   = "connection_closed"
 )
 
 // Result is the outcome of one attempt.
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -184,6 +184,14 @@
 	x.finish()
 }
 
+// finishUnanswered ends an exchange whose response cannot be written, because an
+// earlier response closed the connection.
+func (x *exchange) finishUnanswered() {
+	x.Reason = call.ReasonConnectionClosed
+	x.reportNestedFailure()
+	x.finish()
+}
+
 // forward forwards the call and writes its response.
 func (x *exchange) forward(ctx context.Context, cl *call.Call) {
 	forwarder := x.c.server.config.Forwarder
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -20,7 +20,7 @@
 	defer a.Close()
 	<-x.previousDone
 	if x.c.closing.Load() && !x.closeAfter {
-		x.finish()
+		x.finishUnanswered()
 		return
 	}
 	x.Status = a.Status
@@ -85,7 +85,7 @@
 func (x *exchange) writeFailure(status int, reason string, retryAfter time.Duration) {
 	<-x.previousDone
 	if x.c.closing.Load() && !x.closeAfter {
-		x.finish()
+		x.finishUnanswered()
 		return
 	}
 	x.Status, x.Reason = status, reason
