ingress: answer the requests before one with Connection: close

Callers that sent a request with Connection: close behind others on the same connection got no response to the earlier ones, and the response to the last request in place of the first.

Cause: reading a request that asks to close the connection set the flag that drops responses, although the earlier responses were still due.

TestPipelinedRequestWithConnectionClose failed before: expected "/read/1", actual "/read/2". With the fix both responses come in order and only the last one closes the connection.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -87,19 +87,16 @@
 		return !x.closeAfter
 	}
 	cl := x.newCall(request)
+	isLast := x.closeAfter
 	if !x.Nested && x.c.server.outlastsDrain(cl.Remaining) {
 		x.closeAfter = true
 		x.writeFailure(http.StatusServiceUnavailable, "node_stopping", drainRetryAfter)
 		return false
 	}
-	if x.closeAfter {
-		// Nothing is read after the last request of a connection.
-		c.closing.Store(true)
-	}
 	if request.ContentLength == 0 {
-		return x.startWithoutBody(cl)
+		return x.startWithoutBody(cl) && !isLast
 	}
-	return x.receiveBody(cl, request, limits.BodyBytes)
+	return x.receiveBody(cl, request, limits.BodyBytes) && !isLast
 }
 
 // drainRetryAfter is the retry-after in rejections by a draining node. By then other
