ingress: answer forwarded requests before a draining connection closes

Callers that send further requests before the first is answered lost them when the node was stopped: the connection ended without a response, although the endpoints had executed the calls.

Cause: a draining node marked the next response of a connection as its last one and dropped those of the requests behind it. It did not distinguish a connection that accepts no further request from one on which no further response is due.

A draining node now stops reading the connection with the first response that it writes, and announces the close with the response to the last request that it has read. State and count of a connection change under one lock, so that no request is accepted between the decision and the response. A response that could not be written completely still ends the connection at once.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -15,8 +15,7 @@
 
 // receiveBody buffers a short body; a long one is forwarded as it arrives.
 func (x *exchange) receiveBody(cl *call.Call, request *http.Request, maxBytes int64) bool {
-	<-x.previousDone
-	if x.c.closing.Load() && !x.closeAfter {
+	if !x.awaitTurn() {
 		x.finishCancelled()
 		return false
 	}
@@ -72,13 +71,8 @@
 		// The response was written before the whole body arrived.
 	case <-body.received:
 		_ = x.c.conn.SetReadDeadline(time.Time{}) // The next read returns the error.
-		return !x.closeAfter
 	}
-	if !body.isComplete() {
-		x.c.closing.Store(true)
-		return false
-	}
-	return !x.closeAfter
+	return body.isComplete()
 }
 
 // streamedBody is a body that is read from the client while it is forwarded.
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -34,31 +34,70 @@
 }
 
 func (c *connection) newExchange(id string, started boottime.Time) *exchange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	x := &exchange{c: c, started: started, previousDone: c.lastDone, done: make(chan struct{})}
 	x.ID = id
 	c.lastDone = x.done
-	c.pending.Add(1)
+	c.pending++
 	c.server.active.Add(1)
 	return x
 }
 
+// awaitTurn waits until the previous response of the connection is complete. It
+// reports false when the response to this request cannot be written.
+func (x *exchange) awaitTurn() bool {
+	<-x.previousDone
+	x.c.mu.Lock()
+	defer x.c.mu.Unlock()
+	return !x.c.failed
+}
+
+// closeWhenDraining makes the response the last one of a draining connection, unless
+// a later request is being read or has been forwarded: its response is still due.
+func (x *exchange) closeWhenDraining() {
+	c := x.c
+	if !c.server.draining.Load() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == stateIdle {
+		c.stopReadingLocked()
+	}
+	x.closeAfter = x.closeAfter || (c.pending == 1 && (c.state == stateClosed || x.hasUnreadBody()))
+}
+
+// hasUnreadBody reports whether a part of the request body has not been read. The next
+// request of the connection cannot be read then.
+func (x *exchange) hasUnreadBody() bool { return x.streamed != nil && !x.streamed.isComplete() }
+
 // finish ends the exchange after its response.
 func (x *exchange) finish() {
 	c := x.c
 	x.Duration = c.server.config.Clock() - x.started
 	c.server.config.Observer.Finished(&x.Exchange)
 	c.server.active.Add(-1)
-	if x.closeAfter {
-		c.closing.Store(true)
-	}
-	last := c.pending.Add(-1) == 0
-	close(x.done)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending--
 	switch {
 	case x.closeAfter:
-		_ = c.conn.SetReadDeadline(time.Now()) // Unblocks readRequests.
-	case last && c.state.Load() == stateIdle:
-		_ = c.conn.SetReadDeadline(time.Now().Add(time.Duration(c.idleTimeout.Load())))
+		c.stopReadingLocked()
+	case c.state == stateIdle:
+		c.setIdleDeadline()
 	}
+	close(x.done)
+}
+
+// fail closes the connection after an incomplete response, so that the client does
+// not mistake it for a complete one or the next response for the rest of it.
+func (x *exchange) fail() {
+	x.closeAfter = true
+	x.c.mu.Lock()
+	defer x.c.mu.Unlock()
+	x.c.failed = true
+	_ = x.c.conn.Close() // Nothing more is written.
 }
 
 // handleRequest starts the exchange of a request. It reports false when no further
@@ -152,11 +191,10 @@
 // startWithoutBody forwards a request without a body, concurrently with those
 // before it if it may be executed twice.
 func (x *exchange) startWithoutBody(cl *call.Call) bool {
-	if cl.Kind != 0 && !cl.Idempotent() || x.c.pending.Load() > maxPipelined {
+	if cl.Kind != 0 && !cl.Idempotent() || x.c.pendingCount() > maxPipelined {
 		// A request that must not be executed twice is sent only after the earlier
 		// responses, because one of them may close the connection.
-		<-x.previousDone
-		if x.c.closing.Load() && !x.closeAfter {
+		if !x.awaitTurn() {
 			x.finishCancelled()
 			return false
 		}
--- a/ingress/pipeline_test.go
+++ b/ingress/pipeline_test.go
@@ -3,9 +3,14 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
+	"sync"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"geraniumnotch.example/geraniumnotch/boottime"
 )
 
 // blockingEndpoint is an endpoint that responds with the path of the request once it
@@ -25,6 +30,80 @@
 	_, _ = io.WriteString(out, r.URL.Path) // The client checks the body.
 }
 
+// Guards against responses of forwarded requests that are dropped because an earlier
+// response of the connection was marked as its last one.
+func TestDrainAnswersPipelinedRequests(t *testing.T) {
+	Convey("three requests of a connection are executed when the drain starts", t, func() {
+		b := newBlockingEndpoint()
+		ts := newTestServer(b.serve)
+		defer ts.close()
+		ts.plan.Activate(testPlan(1))
+		c, r := ts.dial()
+		defer func() { _ = c.Close() }()
+		paths := []string{"/read/1", "/read/2", "/read/3"}
+		for i, path := range paths {
+			_, err := io.WriteString(c, get(strconv.Itoa(i), path))
+			So(err, ShouldBeNil)
+			<-b.started
+		}
+		now := boottime.Now()
+		ts.server.Drain(now+time.Minute, now+2*time.Minute)
+		close(b.release)
+		for i, path := range paths {
+			status, body, h := readResponse(r)
+			So(status, ShouldEqual, 200)
+			So(body, ShouldEqual, path)
+			So(h.Get("Connection") == "close", ShouldEqual, i == len(paths)-1)
+		}
+		_, err := r.ReadByte()
+		So(err, ShouldEqual, io.EOF)
+	})
+}
+
+// Guards against a request behind the last response of a draining connection that is
+// forwarded and not answered.
+func TestDrainForwardsNothingItCannotAnswer(t *testing.T) {
+	Convey("a client goes on sending requests while the node drains", t, func() {
+		var mu sync.Mutex
+		executed := map[string]bool{}
+		ts := newTestServer(func(out http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			executed[requestID(r)] = true
+			mu.Unlock()
+			_, _ = io.WriteString(out, r.URL.Path) // The client checks the body.
+		})
+		defer ts.close()
+		ts.plan.Activate(testPlan(1))
+		go func() {
+			for range ts.finished {
+			}
+		}()
+		c, r := ts.dial()
+		defer func() { _ = c.Close() }()
+		go func() {
+			for i := range 5000 {
+				if i == 1000 {
+					now := boottime.Now()
+					ts.server.Drain(now+time.Minute, now+2*time.Minute)
+				}
+				if _, err := io.WriteString(c, get(strconv.Itoa(i), "/read/"+strconv.Itoa(i))); err != nil {
+					return
+				}
+			}
+		}()
+		answered := 0
+		for closed := false; !closed; answered++ {
+			status, body, h := readResponse(r)
+			So(status, ShouldEqual, 200)
+			So(body, ShouldEqual, "/read/"+strconv.Itoa(answered))
+			closed = h.Get("Connection") == "close"
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		So(len(executed), ShouldEqual, answered)
+	})
+}
+
 // Guards against a response that is dropped, or taken for that of another request,
 // because a later request of the connection asks to close it.
 func TestPipelinedRequestWithConnectionClose(t *testing.T) {
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -18,15 +18,14 @@
 // writeResponse writes the response of an endpoint.
 func (x *exchange) writeResponse(a *call.Response) {
 	defer a.Close()
-	<-x.previousDone
-	if x.c.closing.Load() && !x.closeAfter {
+	if !x.awaitTurn() {
 		x.finishUnanswered()
 		return
 	}
 	x.Status = a.Status
 	x.reportNestedFailure()
 	removeConnectionHeaders(a.Header)
-	x.closeAfter = x.closeAfter || x.c.server.draining.Load()
+	x.closeWhenDraining()
 	w := x.acquireWriter()
 	defer releaseWriter(w)
 	chunked := a.Stream != nil && a.BodyBytes < 0
@@ -34,9 +33,7 @@
 	err := x.writeBody(w, a, chunked)
 	if err != nil {
 		x.Reason = call.ReasonResponseTruncated
-		x.closeAfter = true
-		// The client must not mistake the partial response for a complete one.
-		_ = x.c.conn.Close()
+		x.fail()
 	}
 	x.finish()
 }
@@ -83,14 +80,13 @@
 
 // writeFailure writes a response of the node itself.
 func (x *exchange) writeFailure(status int, reason string, retryAfter time.Duration) {
-	<-x.previousDone
-	if x.c.closing.Load() && !x.closeAfter {
+	if !x.awaitTurn() {
 		x.finishUnanswered()
 		return
 	}
 	x.Status, x.Reason = status, reason
 	x.reportNestedFailure()
-	x.closeAfter = x.closeAfter || x.c.server.draining.Load()
+	x.closeWhenDraining()
 	h := http.Header{}
 	x.c.server.config.Headers.SetRequestID(h, x.ID)
 	if retryAfter > 0 {
@@ -100,7 +96,7 @@
 	defer releaseWriter(w)
 	x.writeHead(w, status, h, 0, false)
 	if err := w.Flush(); err != nil {
-		x.closeAfter = true
+		x.fail()
 	}
 	x.finish()
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -160,10 +161,7 @@
 	defer s.mu.Unlock()
 	open := 0
 	for c := range s.conns {
-		switch {
-		case c.pending.Load() == 0 && c.state.CompareAndSwap(stateIdle, stateClosed):
-			_ = c.conn.Close()
-		case c.pending.Load() != 0 || c.state.Load() != stateClosed:
+		if !c.closeIfIdle() {
 			open++
 		}
 	}
@@ -177,21 +175,25 @@
 	r       *bufio.Reader
 	limited *headLimitedConn
 	ctx     context.Context
+
+	mu sync.Mutex
 	// pending counts the requests without a complete response.
-	pending atomic.Int64
-	// state prevents CloseIdle from closing the connection while a request is read.
-	state atomic.Int32
-	// closing is set when the connection accepts no further request.
-	closing atomic.Bool
+	pending int
+	// state prevents the connection from being closed while a request is read.
+	state connectionState
+	// failed is set when a response was not written completely. No response may
+	// follow it.
+	failed bool
 	// lastDone is closed when the latest request has its response.
-	lastDone    chan struct{}
-	idleTimeout atomic.Int64
+	lastDone chan struct{}
 }
 
+type connectionState uint8
+
 // States of the reading side of a connection.
 const (
 	// stateIdle means that nothing of the next request has been read.
-	stateIdle int32 = iota
+	stateIdle connectionState = iota
 	// stateReading means that a request is being read.
 	stateReading
 	// stateClosed means that no further request will be read.
@@ -239,46 +241,35 @@
 		delete(s.conns, c)
 	}()
 	c.readRequests()
-	if c.waitForDisconnect() {
+	c.stopReading()
+	disconnected := c.discardInput()
+	select {
+	case <-disconnected:
 		cancel()
+	case <-c.lastDone:
 	}
 	<-c.lastDone
 	_ = c.conn.Close()
 }
 
-// waitForDisconnect waits until the client closes the connection or all requests
-// have their responses. It reports true in the first case.
-func (c *connection) waitForDisconnect() bool {
-	if c.pending.Load() == 0 {
-		return true
-	}
+// discardInput reads what the client still sends. The returned channel is closed when
+// the connection ends.
+func (c *connection) discardInput() <-chan struct{} {
 	_ = c.conn.SetReadDeadline(time.Time{}) // The next read returns the error.
-	closed := make(chan struct{})
+	ended := make(chan struct{})
 	go func() {
-		defer close(closed)
-		var b [1]byte
-		for {
-			if _, err := c.conn.Read(b[:]); err != nil {
-				return
-			}
-		}
+		defer close(ended)
+		_, _ = io.Copy(io.Discard, c.conn) // Both an error and the end of input end the connection.
 	}()
-	select {
-	case <-closed:
-		return true
-	case <-c.lastDone:
-		return false
-	}
+	return ended
 }
 
-// readRequests reads requests until the connection ends or is closing. An
-// idempotent request without a body is executed concurrently with those before it.
+// readRequests reads requests until the connection ends or is closed. An idempotent
+// request without a body is executed concurrently with those before it.
 func (c *connection) readRequests() {
-	for !c.closing.Load() {
+	for c.awaitRequest() {
 		limits := c.limits()
-		c.idleTimeout.Store(int64(limits.IdleTimeout))
-		c.setIdleDeadline()
-		if !c.waitForRequest(limits) || !c.state.CompareAndSwap(stateIdle, stateReading) {
+		if !c.waitForRequest(limits) || !c.beginReading() {
 			return
 		}
 		// The plan may have changed while the connection was idle.
@@ -295,17 +286,30 @@
 		if !c.handleRequest(request, started) {
 			return
 		}
-		c.state.Store(stateIdle)
 	}
 }
 
-// setIdleDeadline applies the idle timeout while no request is pending.
+// awaitRequest makes the connection idle. It reports false when no further request
+// is read.
+func (c *connection) awaitRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == stateClosed || c.failed {
+		return false
+	}
+	c.state = stateIdle
+	c.setIdleDeadline()
+	return true
+}
+
+// setIdleDeadline applies the idle timeout while no request is pending. The caller
+// holds the lock.
 func (c *connection) setIdleDeadline() {
-	if c.pending.Load() == 0 {
-		_ = c.conn.SetReadDeadline(time.Now().Add(time.Duration(c.idleTimeout.Load()))) // The next read returns the error.
-	} else {
-		_ = c.conn.SetReadDeadline(time.Time{})
+	deadline := time.Time{}
+	if c.pending == 0 {
+		deadline = time.Now().Add(c.limits().IdleTimeout)
 	}
+	_ = c.conn.SetReadDeadline(deadline) // The next read returns the error.
 }
 
 // waitForRequest waits for the first byte of a request.
@@ -315,6 +319,50 @@
 	return err == nil
 }
 
+// beginReading reports whether the request whose first byte has arrived may be read.
+func (c *connection) beginReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != stateIdle {
+		return false
+	}
+	c.state = stateReading
+	return true
+}
+
+// stopReading prevents further requests from being read.
+func (c *connection) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopReadingLocked()
+}
+
+// stopReadingLocked is stopReading for a caller that holds the lock.
+func (c *connection) stopReadingLocked() {
+	if c.state == stateIdle {
+		_ = c.conn.SetReadDeadline(time.Now()) // Unblocks readRequests.
+	}
+	c.state = stateClosed
+}
+
+// closeIfIdle closes the connection if it has no request, and reports whether it is
+// closed.
+func (c *connection) closeIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == 0 && c.state == stateIdle {
+		c.stopReadingLocked()
+	}
+	return c.pending == 0 && c.state == stateClosed
+}
+
+// pendingCount returns the number of requests without a complete response.
+func (c *connection) pendingCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending
+}
+
 func (c *connection) limits() routeplan.Limits {
 	if plan := c.server.config.Plan.Load(); plan != nil {
 		return plan.Limits
