ingress: let the client read the last response before closing

Callers whose connection the node closed after a response with Connection: close could get a reset in place of the end of that response.

Cause: the node closed the connection at once. If a further request had arrived by then, the kernel reset the connection and discarded what it had not yet sent.

TestLastResponseIsNotDiscardedByUnreadRequest failed before: 73 bytes of an error in place of 1,048,576 ("connection reset by peer").

The node now closes its sending side, reads and discards what still arrives until the client has closed or 500 ms have passed, and closes the connection then. A stopping process waits for such connections.

--- a/ingress/pipeline_test.go
+++ b/ingress/pipeline_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -129,3 +130,26 @@
 		So(err, ShouldEqual, io.EOF)
 	})
 }
+
+// Guards against a connection reset that discards the unsent part of the last
+// response, because the client had sent a further request.
+func TestLastResponseIsNotDiscardedByUnreadRequest(t *testing.T) {
+	Convey("a slow client sends a request behind the last response", t, func() {
+		content := bytes.Repeat([]byte("0123456789abcdef"), 1<<20/16)
+		ts := newTestServer(func(out http.ResponseWriter, _ *http.Request) {
+			_, _ = out.Write(content) // The client checks the body.
+		})
+		defer ts.close()
+		ts.plan.Activate(testPlan(1))
+		c, r := ts.dial()
+		defer func() { _ = c.Close() }()
+		_, err := io.WriteString(c, request("GET", "1", "/read/1", "Connection: close\r\n")+get("2", "/read/2"))
+		So(err, ShouldBeNil)
+		ts.waitForExchange("1")
+		_, err = io.WriteString(c, get("3", "/read/3"))
+		So(err, ShouldBeNil)
+		status, body, _ := readResponse(r)
+		So(status, ShouldEqual, 200)
+		So(len(body), ShouldEqual, len(content))
+	})
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -155,17 +155,15 @@
 func (s *Server) Active() int { return int(s.active.Load()) }
 
 // CloseIdle closes the connections without a request. It returns the number of
-// the other connections, on which a request is being read or has no response yet.
+// connections that are still open: a request is being read, has no response yet, or
+// the client has not closed its end after the last response.
 func (s *Server) CloseIdle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	open := 0
 	for c := range s.conns {
-		if !c.closeIfIdle() {
-			open++
-		}
+		c.closeIfIdle()
 	}
-	return open
+	return len(s.conns)
 }
 
 // connection is a client connection.
@@ -230,6 +228,11 @@
 	return c
 }
 
+// lingerTimeout is how long a client has to close its end after the last response.
+// Closing before resets the connection if a further request has arrived, and the
+// client may lose the response.
+const lingerTimeout = 500 * time.Millisecond
+
 // serveConnection serves a connection until it is closed.
 func (s *Server) serveConnection(c *connection) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -249,11 +252,14 @@
 	case <-c.lastDone:
 	}
 	<-c.lastDone
+	c.closeWrite()
+	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout)) // Ends discardInput.
+	<-disconnected
 	_ = c.conn.Close()
 }
 
 // discardInput reads what the client still sends. The returned channel is closed when
-// the connection ends.
+// the client has closed the connection or the read deadline has passed.
 func (c *connection) discardInput() <-chan struct{} {
 	_ = c.conn.SetReadDeadline(time.Time{}) // The next read returns the error.
 	ended := make(chan struct{})
@@ -264,6 +270,13 @@
 	return ended
 }
 
+// closeWrite tells the client that no response follows.
+func (c *connection) closeWrite() {
+	if half, ok := c.conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite() // The client may have closed the connection.
+	}
+}
+
 // readRequests reads requests until the connection ends or is closed. An idempotent
 // request without a body is executed concurrently with those before it.
 func (c *connection) readRequests() {
@@ -345,15 +358,13 @@
 	c.state = stateClosed
 }
 
-// closeIfIdle closes the connection if it has no request, and reports whether it is
-// closed.
-func (c *connection) closeIfIdle() bool {
+// closeIfIdle closes the connection if it has no request.
+func (c *connection) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pending == 0 && c.state == stateIdle {
 		c.stopReadingLocked()
 	}
-	return c.pending == 0 && c.state == stateClosed
 }
 
 // pendingCount returns the number of requests without a complete response.
