internal/readlimit: move the limit on request heads to a package of its own

Change: headLimitedConn of the ingress becomes readlimit.Conn. No behaviour changes, except that a connection has no limit until one is set; the ingress sets one before its first read.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -16,6 +16,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/internal/readlimit"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/routeplan"
@@ -175,7 +176,7 @@
 	server  *Server
 	conn    net.Conn
 	r       *bufio.Reader
-	limited *headLimitedConn
+	limited *readlimit.Conn
 	ctx     context.Context
 	// pending counts the requests without a complete response.
 	pending atomic.Int64
@@ -198,28 +199,9 @@
 	stateClosed
 )
 
-// headLimitedConn bounds the bytes read for the head of a request.
-type headLimitedConn struct {
-	net.Conn
-	remaining int
-}
-
-var errHeadTooLong = errors.New("ingress: request head too long")
-
-func (h *headLimitedConn) Read(b []byte) (int, error) {
-	if h.remaining <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := h.Conn.Read(b[:min(len(b), h.remaining)])
-	h.remaining -= n
-	return n, err
-}
-
-const unlimited = 1 << 62
-
 // addConnection registers an accepted connection.
 func (s *Server) addConnection(raw net.Conn) *connection {
-	c := &connection{server: s, conn: raw, limited: &headLimitedConn{Conn: raw}, lastDone: make(chan struct{})}
+	c := &connection{server: s, conn: raw, limited: readlimit.NewConn(raw), lastDone: make(chan struct{})}
 	c.r = bufio.NewReaderSize(c.limited, readBufferBytes)
 	close(c.lastDone)
 	s.mu.Lock()
@@ -284,10 +266,10 @@
 		// The plan may have changed while the connection was idle.
 		limits = c.limits()
 		started := c.server.config.Clock()
-		c.limited.remaining = limits.HeaderBytes
+		c.limited.SetLimit(limits.HeaderBytes)
 		_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // The next read returns the error.
 		request, err := http.ReadRequest(c.r)
-		c.limited.remaining = unlimited
+		c.limited.RemoveLimit()
 		if err != nil {
 			c.rejectHead(err)
 			return
@@ -310,7 +292,7 @@
 
 // waitForRequest waits for the first byte of a request.
 func (c *connection) waitForRequest(limits routeplan.Limits) bool {
-	c.limited.remaining = limits.HeaderBytes
+	c.limited.SetLimit(limits.HeaderBytes)
 	_, err := c.r.Peek(1)
 	return err == nil
 }
@@ -327,7 +309,7 @@
 	status, reason := http.StatusBadRequest, "malformed_request"
 	var timeout interface{ Timeout() bool }
 	switch {
-	case errors.Is(err, errHeadTooLong):
+	case errors.Is(err, readlimit.ErrExceeded):
 		status, reason = http.StatusRequestHeaderFieldsTooLarge, "head_too_long"
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status, reason = http.StatusRequestTimeout, "head_too_slow"
