ingress: respond 431 to every request head over the limit

Seen: a client whose request head is over the limit got 400 instead of 431 when the limit falls within the name of a header. Cause: bufio.Reader.ReadLine returns the bytes before a read error as a line. The parser then reports a header without a colon, and the error of the limit is lost.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -309,6 +309,25 @@
 	})
 }
 
+// Guards against a 400 for a request head over the limit when the limit falls within
+// the name of a header.
+func TestRequestHeadOverTheLimit(t *testing.T) {
+	Convey("every head over the limit is rejected with 431", t, func() {
+		ts := newTestServer(func(http.ResponseWriter, *http.Request) {})
+		defer ts.close()
+		ts.plan.Activate(testPlan(1))
+		lines := strings.Repeat("Abc: x\r\n", 1<<10)
+		for padding := range len("Abc: x\r\n") {
+			c, r := ts.dial()
+			_, err := io.WriteString(c, request("GET", "1", "/read/"+strings.Repeat("x", padding), lines))
+			So(err, ShouldBeNil)
+			status, _, _ := readResponse(r)
+			So(status, ShouldEqual, 431)
+			So(c.Close(), ShouldBeNil)
+		}
+	})
+}
+
 // Guards against a call that lasts beyond the route's timeout, or is still executed
 // afterwards, and against an at-most-once call that is executed twice.
 func TestTimeoutsAndRetries(t *testing.T) {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -309,7 +309,7 @@
 	status, reason := http.StatusBadRequest, "malformed_request"
 	var timeout interface{ Timeout() bool }
 	switch {
-	case errors.Is(err, readlimit.ErrExceeded):
+	case c.limited.Exceeded():
 		status, reason = http.StatusRequestHeaderFieldsTooLarge, "head_too_long"
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status, reason = http.StatusRequestTimeout, "head_too_slow"
