localendpoint: limit the head of a response

Seen: while an endpoint sent a status line or headers without end, the node buffered all of it until the deadline of the call. The call held its slot and ended with 504, and an idempotent call was not retried. A head larger than the largest frame of a link (32 MB) would have been sent to the other host and ended the link. Cause: http.ReadResponse has no limit on the head; only http.Transport sets one. Fix: at most 64 KB are read from the connection for a head. After that the attempt is broken at once with the new reason answer_too_long, the connection is closed and the slot released, so that an idempotent call is retried within its retry budget.

--- a/call/call.go
+++ b/call/call.go
@@ -101,6 +101,7 @@
 	ReasonNoLink             = "no_link"
 	ReasonResponseTruncated  = "answer_truncated"
 	ReasonResponseMalformed  = "answer_malformed"
+	ReasonResponseTooLong    = "answer_too_long"
 	ReasonNoResponse         = "no_answer"
 	ReasonCancelled          = "caller_left"
 	ReasonBodyIncomplete     = "request_body_incomplete"
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -400,6 +401,68 @@
 	})
 }
 
+// writeForever takes over the connection of a response and writes start, and then unit
+// until the connection is closed.
+func writeForever(out http.ResponseWriter, start, unit string) {
+	c, _, err := http.NewResponseController(out).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = c.Close() }()
+	const maxBytes = 64 << 20 // The bytes that net/http would buffer without a limit.
+	block := bytes.Repeat([]byte(unit), 4<<10)
+	_, err = io.WriteString(c, start)
+	for written := 0; err == nil && written < maxBytes; written += len(block) {
+		_, err = c.Write(block)
+	}
+	_, _ = io.Copy(io.Discard, c) // Waits until the node closes the connection.
+}
+
+// Guards against a response head without end that holds a call until its deadline, and
+// against a response body without end that looks complete.
+func TestUnboundedResponses(t *testing.T) {
+	for _, path := range []string{"/order/1", "/read/1"} {
+		Convey("a head without end is replaced by a 502: "+path, t, func() {
+			var runs atomic.Int64
+			ts := newTestServer(func(out http.ResponseWriter, _ *http.Request) {
+				runs.Add(1)
+				writeForever(out, "HTTP/1.1 200 OK\r\n", "A: x\r\n")
+			})
+			defer ts.close()
+			ts.plan.Activate(testPlan(1))
+			c, r := ts.dial()
+			defer func() { _ = c.Close() }()
+			_, err := io.WriteString(c, get("1", path))
+			So(err, ShouldBeNil)
+			status, _, h := readResponse(r)
+			So(status, ShouldEqual, 502)
+			So(h.Get("Retry-After"), ShouldBeEmpty)
+			So(runs.Load(), ShouldEqual, 1)
+			So(ts.waitForExchange("1").Reason, ShouldEqual, call.ReasonResponseTooLong)
+		})
+	}
+	Convey("a body without end is cut off at the deadline", t, func() {
+		ts := newTestServer(func(out http.ResponseWriter, r *http.Request) {
+			var head strings.Builder
+			h := http.Header{}
+			platform.Headers{}.SetRequestID(h, requestID(r))
+			if err := h.Write(&head); err != nil {
+				panic(err)
+			}
+			writeForever(out, "HTTP/1.1 200 OK\r\n"+head.String()+"\r\n", "x")
+		})
+		defer ts.close()
+		ts.plan.Activate(testPlan(1))
+		c, r := ts.dial()
+		defer func() { _ = c.Close() }()
+		_, err := io.WriteString(c, get("1", "/short/1"))
+		So(err, ShouldBeNil)
+		status, body, _ := readResponse(r)
+		So(status, ShouldEqual, 200)
+		So(body, ShouldEqual, io.ErrUnexpectedEOF.Error())
+	})
+}
+
 // Guards against a draining node that aborts a call in flight, or accepts one that
 // it cannot finish.
 func TestDrain(t *testing.T) {
--- a/localendpoint/exchange.go
+++ b/localendpoint/exchange.go
@@ -26,6 +26,9 @@
 	// inlineBodyBytes is the largest request body that is written together with the
 	// head, before the response is read.
 	inlineBodyBytes = 4 << 10
+	// maxResponseHeadBytes bounds the status line and the headers of a response, which
+	// net/http buffers without a limit of its own. The proxy has the same limit.
+	maxResponseHeadBytes = 64 << 10
 	// maxUnrelatedResponses bounds the responses to other calls that are skipped.
 	maxUnrelatedResponses = 8
 )
@@ -190,7 +193,9 @@
 		if _, err := x.conn.r.Peek(1); err != nil {
 			return x.fail(ctx, call.ReasonNoResponse, err)
 		}
+		x.conn.limited.SetLimit(maxResponseHeadBytes)
 		response, err := http.ReadResponse(x.conn.r, request)
+		x.conn.limited.RemoveLimit()
 		if err != nil {
 			return x.fail(ctx, call.ReasonResponseMalformed, err)
 		}
@@ -218,6 +223,8 @@
 		outcome, reason = call.Expired, call.ReasonCancelled
 	case errors.As(err, &timeout) && timeout.Timeout():
 		outcome = call.Expired
+	case x.conn.limited.Exceeded():
+		reason = call.ReasonResponseTooLong
 	}
 	return call.Result{Outcome: outcome, Reason: reason, Sent: true}
 }
--- a/localendpoint/pool.go
+++ b/localendpoint/pool.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
+	"geraniumnotch.example/geraniumnotch/internal/readlimit"
 )
 
 const (
@@ -32,6 +33,8 @@
 // conn is a connection to the endpoint. It carries one call at a time.
 type conn struct {
 	net.Conn
+	// limited is Conn with a limit on the bytes that r reads.
+	limited     *readlimit.Conn
 	r           *bufio.Reader
 	idleSince   boottime.Time
 	idleTimeout time.Duration
@@ -69,7 +72,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	limited := readlimit.NewConn(raw)
+	return &conn{Conn: raw, limited: limited, r: bufio.NewReaderSize(limited, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
 func (p *pool) popIdle() *conn {
