localendpoint: limit the skipped body of a response to another call

Seen: while an endpoint sent the body of a response without this call's ID without end, the node read and discarded it until the deadline of the call. The call held its slot, used processor time and ended with 504; an idempotent call was not retried. Cause: the number of unrelated responses was limited, their length was not. A body that only the end of the connection ends was read although no response can follow it. Evidence: three new cases of TestUnboundedResponses (chunked, with a length of 1 TB, and without a length) failed before: unbounded_test.go Line 76: Expected: call.AttemptOutcome(3) Actual: call.AttemptOutcome(4) (broken, expired) Fix: at most 1 MB of each unrelated body is read, and none of one that is the last of its connection. After that the attempt is broken, the connection closed and the slot released. TestLongResponses still skips a body of 256 KB and uses the connection further.

--- a/localendpoint/exchange.go
+++ b/localendpoint/exchange.go
@@ -31,9 +31,16 @@
 	maxResponseHeadBytes = 64 << 10
 	// maxUnrelatedResponses bounds the responses to other calls that are skipped.
 	maxUnrelatedResponses = 8
+	// maxSkippedBodyBytes bounds the body of a response to another call. The call waits
+	// for its own response while such a body is read.
+	maxSkippedBodyBytes = 1 << 20
 )
 
-var errUnrelatedResponses = errors.New("localendpoint: too many responses with the ID of another call")
+// Errors of responses to other calls.
+var (
+	errUnrelatedResponses = errors.New("localendpoint: too many responses with the ID of another call")
+	errLastResponse       = errors.New("localendpoint: the response to another call ends the connection")
+)
 
 // exchange is the request and response of one call on a connection to the endpoint.
 type exchange struct {
@@ -204,7 +211,7 @@
 		}
 		info := x.gate.headers.ReadResponse(response.StatusCode, response.Header)
 		if info.RequestID != x.call.ID {
-			if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+			if err := x.skipBody(response); err != nil {
 				return x.fail(ctx, call.ReasonResponseMalformed, err)
 			}
 			continue
@@ -214,6 +221,19 @@
 	return x.fail(ctx, call.ReasonResponseMalformed, errUnrelatedResponses)
 }
 
+// skipBody reads the body of a response to another call. It returns an error if the
+// response to this call cannot follow.
+func (x *exchange) skipBody(response *http.Response) error {
+	if response.Close {
+		// This includes a body that only the end of the connection ends.
+		return errLastResponse
+	}
+	x.conn.limited.SetLimit(maxSkippedBodyBytes)
+	defer x.conn.limited.RemoveLimit()
+	_, err := io.Copy(io.Discard, response.Body)
+	return err
+}
+
 func (x *exchange) fail(ctx context.Context, reason string, err error) call.Result {
 	_ = x.conn.Close()
 	outcome := call.Broken
--- a/localendpoint/unbounded_test.go
+++ b/localendpoint/unbounded_test.go
@@ -56,6 +56,9 @@
 		"head of a 1xx response":  {"HTTP/1.1 103 Early Hints\r\n", "A: x\r\n", maxHeadFloodBytes, tooLong},
 		"series of 1xx responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n", maxHeadFloodBytes, malformed},
 		"series of other answers": {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx", maxHeadFloodBytes, malformed},
+		"chunked unrelated body":  {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "8\r\nunwanted\r\n", maxSkippedFloodBytes, tooLong},
+		"unrelated body of 1 TB":  {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1099511627776\r\n\r\n", "x", maxSkippedFloodBytes, tooLong},
+		"unframed unrelated body": {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "x", maxSkippedFloodBytes, malformed},
 		"extension of a chunk":    {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x", maxHeadFloodBytes, malformed},
 		"trailer":                 {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: x\r\n", maxHeadFloodBytes, malformed},
 	} {
