localendpoint: fail a call at the first bytes that begin no response

Seen: an endpoint that sent a few bytes of no HTTP response and no line end, and kept the connection open, held the slot until the deadline of the call. The same holds for such bytes that arrive too slowly to pass the limit on a head soon. Cause: the parser judges a status line only when it has all of it.

--- a/localendpoint/exchange.go
+++ b/localendpoint/exchange.go
@@ -34,10 +34,13 @@
 	// maxSkippedBodyBytes bounds the body of a response to another call. The call waits
 	// for its own response while such a body is read.
 	maxSkippedBodyBytes = 1 << 20
+	// responsePrefix begins the status line of every response.
+	responsePrefix = "HTTP/"
 )
 
-// Errors of responses to other calls.
+// Errors of responses that do not belong to the call.
 var (
+	errNoResponse         = errors.New("localendpoint: received bytes are no HTTP response")
 	errUnrelatedResponses = errors.New("localendpoint: too many responses with the ID of another call")
 	errLastResponse       = errors.New("localendpoint: the response to another call ends the connection")
 )
@@ -197,8 +200,8 @@
 func (x *exchange) readResponse(ctx context.Context) call.Result {
 	request := &http.Request{Method: x.call.Method}
 	for range maxUnrelatedResponses {
-		if _, err := x.conn.r.Peek(1); err != nil {
-			return x.fail(ctx, call.ReasonNoResponse, err)
+		if reason, err := x.waitForResponse(); err != nil {
+			return x.fail(ctx, reason, err)
 		}
 		x.conn.limited.SetLimit(maxResponseHeadBytes)
 		response, err := http.ReadResponse(x.conn.r, request)
@@ -221,6 +224,23 @@
 	return x.fail(ctx, call.ReasonResponseMalformed, errUnrelatedResponses)
 }
 
+// waitForResponse waits for the first bytes of a response. Other bytes fail the call
+// before the end of a line, which may never come. It returns the reason of an error.
+func (x *exchange) waitForResponse() (string, error) {
+	for n := 1; n <= len(responsePrefix); n++ {
+		begin, err := x.conn.r.Peek(n)
+		switch {
+		case err != nil && n == 1:
+			return call.ReasonNoResponse, err
+		case err != nil:
+			return call.ReasonResponseMalformed, err
+		case string(begin) != responsePrefix[:n]:
+			return call.ReasonResponseMalformed, errNoResponse
+		}
+	}
+	return "", nil
+}
+
 // skipBody reads the body of a response to another call. It returns an error if the
 // response to this call cannot follow.
 func (x *exchange) skipBody(response *http.Response) error {
--- a/localendpoint/unbounded_test.go
+++ b/localendpoint/unbounded_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -82,6 +83,35 @@
 	}
 }
 
+// Guards against a slot that is held until the deadline of the call for bytes that no
+// response begins with.
+func TestBytesThatAreNoResponse(t *testing.T) {
+	for _, start := range []string{"x", "HTXP/1.1 200", "\r\n", "\x00\x01 without a line end"} {
+		Convey(fmt.Sprintf("the call fails at once: %q", start), t, func() {
+			closed := make(chan struct{})
+			e := newStubEndpoint(func(c net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(c, start)
+				_, _ = io.Copy(io.Discard, c) // Waits until the caller closes the connection.
+				close(closed)
+				return false
+			})
+			defer e.close()
+			g, r := newGate(e)
+			c := newCall(routeplan.Idempotent)
+			c.Header.Set("Id", c.ID)
+			c.Remaining = time.Minute
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			result := g.Run(ctx, c)
+			So(result.Outcome, ShouldEqual, call.Broken)
+			So(result.Reason, ShouldEqual, call.ReasonResponseMalformed)
+			So(result.Sent, ShouldBeTrue)
+			<-closed
+			So(r.Current().Queue.Load(), ShouldResemble, call.Load{})
+		})
+	}
+}
+
 // Guards against a limit that rejects a complete response.
 func TestLongResponses(t *testing.T) {
 	ctx := context.Background()
