localendpoint: a declined call does not depend on the body of the response

Seen: when an endpoint stated that it had not executed a call and the body of that response did not end, the response was streamed to the client and cut off, or the call held its slot until its deadline and ended with 504. No other endpoint was tried, and the client of an at-most-once call did not learn that the call was not executed. Cause: the statement was read only after the whole body, and not at all for a body over 64 KB. Fix: the call is rejected by the head alone. The body is read for at most 64 KB and 50 ms, only to reuse the connection; otherwise the connection is closed.

--- a/localendpoint/exchange.go
+++ b/localendpoint/exchange.go
@@ -34,6 +34,9 @@
 	// maxSkippedBodyBytes bounds the body of a response to another call. The call waits
 	// for its own response while such a body is read.
 	maxSkippedBodyBytes = 1 << 20
+	// declinedBodyTimeout limits the time to read the body of a response to a call that
+	// was not executed, which is read only to reuse the connection.
+	declinedBodyTimeout = 50 * time.Millisecond
 	// responsePrefix begins the status line of every response.
 	responsePrefix = "HTTP/"
 )
@@ -275,6 +278,9 @@
 	if info.IdleTimeout > 0 {
 		x.conn.idleTimeout = info.IdleTimeout
 	}
+	if info.NotExecuted {
+		return x.finishDeclined(response)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes+1))
 	if err != nil {
 		return x.fail(ctx, call.ReasonResponseTruncated, err)
@@ -283,17 +289,29 @@
 		return x.streamResponse(response, body)
 	}
 	x.returnConnection(response.Close)
-	if info.NotExecuted {
-		reason := call.ReasonDeclined
-		if response.StatusCode == http.StatusMisdirectedRequest {
-			reason = call.ReasonOtherEndpoint
-		}
-		return call.Result{Outcome: call.Rejected, Reason: reason, Sent: true}
-	}
 	a := &call.Response{Status: response.StatusCode, Header: response.Header, BodyBytes: int64(len(body)), Body: body}
 	return call.Result{Outcome: call.Answered, Sent: true, Response: a}
 }
 
+// finishDeclined returns the result of a call that the endpoint did not execute. The head
+// states this, so that a failure to read the body only costs the connection.
+func (x *exchange) finishDeclined(response *http.Response) call.Result {
+	_ = x.conn.SetReadDeadline(time.Now().Add(declinedBodyTimeout)) // The next read returns the error.
+	x.conn.limited.SetLimit(maxBufferedResponseBytes)
+	closing := response.Close
+	if !closing {
+		_, err := io.Copy(io.Discard, response.Body)
+		closing = err != nil
+	}
+	x.conn.limited.RemoveLimit()
+	x.returnConnection(closing)
+	reason := call.ReasonDeclined
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		reason = call.ReasonOtherEndpoint
+	}
+	return call.Result{Outcome: call.Rejected, Reason: reason, Sent: true}
+}
+
 // returnConnection returns the connection to the pool if the request and the response
 // on it are complete, and closes it otherwise.
 func (x *exchange) returnConnection(closing bool) {
--- a/localendpoint/unbounded_test.go
+++ b/localendpoint/unbounded_test.go
@@ -31,8 +31,8 @@
 func flood(c net.Conn, start, unit string) int {
 	_ = c.(*net.TCPConn).SetWriteBuffer(64 << 10) // The bounds allow for larger buffers.
 	written, _ := io.WriteString(c, start)
-	block := bytes.Repeat([]byte(unit), max(1, (16<<10)/len(unit)))
-	for written < maxFloodBytes {
+	block := bytes.Repeat([]byte(unit), (16<<10)/max(1, len(unit)))
+	for len(block) > 0 && written < maxFloodBytes {
 		n, err := c.Write(block)
 		if written += n; err != nil {
 			return written
@@ -112,6 +112,35 @@
 	}
 }
 
+// Guards against a call that is lost although the endpoint states that it did not execute
+// it, because the body of that response does not end.
+func TestDeclinedWithUnboundedBody(t *testing.T) {
+	for name, fault := range map[string]struct{ head, unit string }{
+		"without a length": {"\r\n", "x"},
+		"chunked":          {"Transfer-Encoding: chunked\r\n\r\n", "8\r\nunwanted\r\n"},
+		"that stops":       {"Content-Length: 10\r\n\r\nhalf", ""},
+	} {
+		Convey("the call is rejected and the connection closed: a body "+name, t, func() {
+			written := make(chan int, 1)
+			e := newStubEndpoint(func(c net.Conn, r *http.Request) bool {
+				start := fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\n%s", r.Header.Get("Id"), fault.head)
+				written <- flood(c, start, fault.unit)
+				return false
+			})
+			defer e.close()
+			g, r := newGate(e)
+			c := newCall(routeplan.AtMostOnce)
+			c.Header.Set("Id", c.ID)
+			result := g.Run(context.Background(), c)
+			So(result.Outcome, ShouldEqual, call.Rejected)
+			So(result.Reason, ShouldEqual, call.ReasonDeclined)
+			So(result.Sent, ShouldBeTrue)
+			So(<-written, ShouldBeLessThan, maxHeadFloodBytes)
+			So(r.Current().Queue.Load(), ShouldResemble, call.Load{})
+		})
+	}
+}
+
 // Guards against a limit that rejects a complete response.
 func TestLongResponses(t *testing.T) {
 	ctx := context.Background()
