proxy: limit the 1xx responses before a response

Seen: an endpoint that sent 1xx responses without end had all of them forwarded until the deadline of the call, while it held a slot. A client of net/http gave up after 10 MB and got no outcome. Cause: http.Transport leaves the limit on 1xx responses to whoever receives them through httptrace, and the proxy had none. Evidence: of the new cases of TestEndpointFaults two failed before, "unbounded interim" and "unbounded interim, no head" on /once: faults_test.go Line 159: Expected: nil Actual: 'Post "http://127.0.0.1:35285/once": net/http: HTTP/1.x transport connection broken: net/http: server response headers exceeded bytes; aborted' "unbounded interim" on /lookup, "unbounded head" and "unbounded body" passed before. Fix: all 1xx responses of an exchange together may be as long as one head, as in http.Transport without a trace. After that the outcome is unknown with the reason broken_connection.

--- a/proxy/faults_test.go
+++ b/proxy/faults_test.go
@@ -81,6 +81,10 @@
 		_ = buf.Flush()
 		_ = conn.Close()
 	},
+	"unbounded head":             writeForever("HTTP/1.1 200 OK\r\n", "A: x\r\n"),
+	"unbounded interim":          writeForever("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
+	"unbounded interim, no head": writeForever("", "HTTP/1.1 102 Processing\r\n\r\n"),
+	"unbounded body":             writeForever("HTTP/1.1 200 OK\r\n\r\n", "x"),
 	"doubled": func(w http.ResponseWriter, r *http.Request) {
 		conn, buf, _ := http.NewResponseController(w).Hijack()
 		one := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 6\r\n\r\nanswer", mesh.HeaderCall, r.Header.Get(mesh.HeaderCall))
@@ -90,6 +94,22 @@
 	},
 }
 
+// writeForever returns a fault that writes start, and then unit until the connection is
+// closed.
+func writeForever(start, unit string) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, _ := http.NewResponseController(w).Hijack()
+		defer func() { _ = conn.Close() }()
+		const maxBytes = 16 << 20
+		block := []byte(strings.Repeat(unit, 64))
+		_, err := io.WriteString(conn, start)
+		for written := 0; err == nil && written < maxBytes; written += len(block) {
+			_, err = conn.Write(block)
+		}
+		_, _ = io.Copy(io.Discard, conn) // Waits until the node closes the connection.
+	}
+}
+
 func (m *testMesh) callWithFault(path, label, fault string, always bool) reply {
 	r := m.request(http.MethodPost, path, strings.NewReader("order"))
 	r.Header.Set("X-Label", label)
@@ -119,6 +139,11 @@
 		{"crossed", "/once", "unknown crossed_answer", false, 1},
 		{"crossed", "/lookup", "executed", false, 2},
 		{"unframed", "/once", "unknown broken_connection", false, 1},
+		{"unbounded head", "/once", "unknown broken_connection", false, 1},
+		{"unbounded interim", "/once", "unknown broken_connection", false, 1},
+		{"unbounded interim", "/lookup", "executed", false, 2},
+		{"unbounded interim, no head", "/once", "unknown broken_connection", false, 1},
+		{"unbounded body", "/once", "unknown broken_connection", false, 1},
 		{"doubled", "/once", "executed", false, 1},
 		{"hang", "/hurried", "unknown deadline", false, 1},
 		{"hang", "/lookup", "executed", false, 2},
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -19,6 +19,7 @@
 	errUpstream   = errors.New("proxy: response body ended early")
 	errDownstream = errors.New("proxy: receiver of the response closed the connection")
 	errUnframed   = errors.New("proxy: response has neither a Content-Length nor chunks")
+	errInterim    = errors.New("proxy: too many 1xx responses")
 )
 
 var bufferPool = sync.Pool{New: func() any {
@@ -161,10 +162,37 @@
 	mu     sync.Mutex
 	w      http.ResponseWriter
 	closed bool
+	// bytes is the approximate length of the 1xx responses so far.
+	bytes int
+}
+
+// interimStatusBytes and interimFieldBytes are the approximate lengths of a status line
+// with the blank line after the head, and of a header field without its name and value.
+const (
+	interimStatusBytes = 32
+	interimFieldBytes  = 4
+)
+
+// count adds a 1xx response and returns an error when all of them exceed the limit on a
+// head. The transport has no limit if 1xx responses are forwarded.
+func (i *interimForwarder) count(header textproto.MIMEHeader) error {
+	i.bytes += interimStatusBytes
+	for name, values := range header {
+		for _, value := range values {
+			i.bytes += len(name) + len(value) + interimFieldBytes
+		}
+	}
+	if i.bytes > maxHeaderBytes {
+		return errInterim
+	}
+	return nil
 }
 
 // forward writes a 1xx response. It is called on the transport's goroutine.
 func (i *interimForwarder) forward(code int, header textproto.MIMEHeader) error {
+	if err := i.count(header); err != nil {
+		return err
+	}
 	if code == http.StatusContinue || code == http.StatusSwitchingProtocols {
 		return nil
 	}
