hostnode: test that a long response head neither ends a link nor fails a call

Cause: the limit on response heads was tested at the gate and the ingress, not between hosts. Change: two cases of TestCallsAcrossTwoHosts with a head longer than the largest frame.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -20,6 +20,7 @@
 
 	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/platform/standin"
+	"geraniumnotch.example/geraniumnotch/transport"
 )
 
 // fixture is a store with nodes and endpoints beside them, all on loopback.
@@ -39,6 +40,9 @@
 	mu         sync.Mutex
 	sequence   int
 	executions map[string]int
+	// longHead makes the endpoint send responses with a head longer than a frame of a
+	// link.
+	longHead atomic.Bool
 }
 
 // hostCounter counts the hosts of this process.
@@ -83,6 +87,9 @@
 		h.mu.Lock()
 		h.executions[id]++
 		h.mu.Unlock()
+		if h.longHead.Load() {
+			w.Header().Set("Long", strings.Repeat("x", transport.MaxFrameBytes))
+		}
 		_, _ = io.WriteString(w, name+" "+caller) // The client checks the body.
 	})}
 	go func() { _ = h.endpoint.Serve(l) }() // Ends in close.
@@ -268,6 +275,30 @@
 			defer b.mu.Unlock()
 			So(len(b.executions), ShouldEqual, executions)
 		})
+		Convey("a response head longer than a frame does not end the link", func() {
+			b.longHead.Store(true)
+			status, _ := a.get("long", "/two/x")
+			So(status, ShouldEqual, 502)
+			b.longHead.Store(false)
+			So(serves(a, "/two/x", "host-b one")(), ShouldBeTrue)
+		})
+		Convey("an idempotent call is retried at another host after a head over the limit", func() {
+			c := f.addHost("host-c", "two")
+			So(c.announce("two", "ready"), ShouldEqual, 200)
+			waitFor(serves(a, "/two/x", "host-c one"))
+			b.longHead.Store(true)
+			b.mu.Lock()
+			clear(b.executions)
+			b.mu.Unlock()
+			waitFor(func() bool {
+				status, body := a.get("long", "/two/x")
+				So(status, ShouldEqual, 200)
+				So(body, ShouldEqual, "host-c one")
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				return b.executions["long"] > 0
+			})
+		})
 		Convey("malformed announcements are rejected and change nothing", func() {
 			So(postMalformed(b), ShouldEqual, 400)
 			So(b.announce("three", "ready"), ShouldEqual, 200)
