transport: limit the head of a handshake response

Seen: a dial to an address at which another program sends a response head without end buffered 10 MB for each attempt. Cause: the client had only the default limit of net/http. Fix: at most 16 KB of a head are read, as in kvstore/httpstore.

--- a/transport/manager.go
+++ b/transport/manager.go
@@ -32,6 +32,9 @@
 	// crossedDialWindow is the time within which a second link between two hosts,
 	// dialed from the other side, counts as a crossed dial and not as a reconnect.
 	crossedDialWindow = 2 * time.Second
+	// maxHandshakeBytes limits the head of a handshake response. The address may have been
+	// assigned to another program since.
+	maxHandshakeBytes = 16 << 10
 )
 
 var (
@@ -96,7 +99,9 @@
 		links:   map[mesh.HostID]*Link{},
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
-	m.client = &http.Client{Transport: &http.Transport{DialContext: m.dialWithTimeout, DisableKeepAlives: true}}
+	m.client = &http.Client{Transport: &http.Transport{
+		DialContext: m.dialWithTimeout, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHandshakeBytes,
+	}}
 	return m
 }
 
