--- a/localendpoint/exchange.go
+++ b/localendpoint/exchange.go
@@ -26,11 +26,27 @@
 	// inlineBodyBytes is the largest request body that is written together with the
 	// head, before the response is read.
 	inlineBodyBytes = 4 << 10
+	// maxResponseHeadBytes bounds the status line and the headers of a response, which
+	// net/http buffers without a limit of its own. The proxy has the same limit.
+	maxResponseHeadBytes = 64 << 10
 	// maxUnrelatedResponses bounds the responses to other calls that are skipped.
 	maxUnrelatedResponses = 8
+	// maxSkippedBodyBytes bounds the body of a response to another call. The call waits
+	// for its own response while such a body is read.
+	maxSkippedBodyBytes = 1 << 20
+	// declinedBodyTimeout limits the time to read the body of a response to a call that
+	// was not executed, which is read only to reuse the connection.
+	declinedBodyTimeout = 50 * time.Millisecond
+	// responsePrefix begins the status line of every response.
+	responsePrefix = "HTTP/"
 )
 
-var errUnrelatedResponses = errors.New("localendpoint: too many responses with the ID of another call")
+// Errors of responses that do not belong to the call.
+var (
+	errNoResponse         = errors.New("localendpoint: received bytes are no HTTP response")
+	errUnrelatedResponses = errors.New("localendpoint: too many responses with the ID of another call")
+	errLastResponse       = errors.New("localendpoint: the response to another call ends the connection")
+)
 
 // exchange is the request and response of one call on a connection to the endpoint.
 type exchange struct {
@@ -187,10 +203,12 @@
 func (x *exchange) readResponse(ctx context.Context) call.Result {
 	request := &http.Request{Method: x.call.Method}
 	for range maxUnrelatedResponses {
-		if _, err := x.conn.r.Peek(1); err != nil {
-			return x.fail(ctx, call.ReasonNoResponse, err)
+		if reason, err := x.waitForResponse(); err != nil {
+			return x.fail(ctx, reason, err)
 		}
+		x.conn.limited.SetLimit(maxResponseHeadBytes)
 		response, err := http.ReadResponse(x.conn.r, request)
+		x.conn.limited.RemoveLimit()
 		if err != nil {
 			return x.fail(ctx, call.ReasonResponseMalformed, err)
 		}
@@ -199,7 +217,7 @@
 		}
 		info := x.gate.headers.ReadResponse(response.StatusCode, response.Header)
 		if info.RequestID != x.call.ID {
-			if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+			if err := x.skipBody(response); err != nil {
 				return x.fail(ctx, call.ReasonResponseMalformed, err)
 			}
 			continue
@@ -209,6 +227,36 @@
 	return x.fail(ctx, call.ReasonResponseMalformed, errUnrelatedResponses)
 }
 
+// waitForResponse waits for the first bytes of a response. Other bytes fail the call
+// before the end of a line, which may never come. It returns the reason of an error.
+func (x *exchange) waitForResponse() (string, error) {
+	for n := 1; n <= len(responsePrefix); n++ {
+		begin, err := x.conn.r.Peek(n)
+		switch {
+		case err != nil && n == 1:
+			return call.ReasonNoResponse, err
+		case err != nil:
+			return call.ReasonResponseMalformed, err
+		case string(begin) != responsePrefix[:n]:
+			return call.ReasonResponseMalformed, errNoResponse
+		}
+	}
+	return "", nil
+}
+
+// skipBody reads the body of a response to another call. It returns an error if the
+// response to this call cannot follow.
+func (x *exchange) skipBody(response *http.Response) error {
+	if response.Close {
+		// This includes a body that only the end of the connection ends.
+		return errLastResponse
+	}
+	x.conn.limited.SetLimit(maxSkippedBodyBytes)
+	defer x.conn.limited.RemoveLimit()
+	_, err := io.Copy(io.Discard, response.Body)
+	return err
+}
+
 func (x *exchange) fail(ctx context.Context, reason string, err error) call.Result {
 	_ = x.conn.Close()
 	outcome := call.Broken
@@ -218,6 +266,8 @@
 		outcome, reason = call.Expired, call.ReasonCancelled
 	case errors.As(err, &timeout) && timeout.Timeout():
 		outcome = call.Expired
+	case x.conn.limited.Exceeded():
+		reason = call.ReasonResponseTooLong
 	}
 	return call.Result{Outcome: outcome, Reason: reason, Sent: true}
 }
@@ -228,6 +278,9 @@
 	if info.IdleTimeout > 0 {
 		x.conn.idleTimeout = info.IdleTimeout
 	}
+	if info.NotExecuted {
+		return x.finishDeclined(response)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes+1))
 	if err != nil {
 		return x.fail(ctx, call.ReasonResponseTruncated, err)
@@ -236,17 +289,29 @@
 		return x.streamResponse(response, body)
 	}
 	x.returnConnection(response.Close)
-	if info.NotExecuted {
-		reason := call.ReasonDeclined
-		if response.StatusCode == http.StatusMisdirectedRequest {
-			reason = call.ReasonOtherEndpoint
-		}
-		return call.Result{Outcome: call.Rejected, Reason: reason, Sent: true}
-	}
 	a := &call.Response{Status: response.StatusCode, Header: response.Header, BodyBytes: int64(len(body)), Body: body}
 	return call.Result{Outcome: call.Answered, Sent: true, Response: a}
 }
 
+// finishDeclined returns the result of a call that the endpoint did not execute. The head
+// states this, so that a failure to read the body only costs the connection.
+func (x *exchange) finishDeclined(response *http.Response) call.Result {
+	_ = x.conn.SetReadDeadline(time.Now().Add(declinedBodyTimeout)) // The next read returns the error.
+	x.conn.limited.SetLimit(maxBufferedResponseBytes)
+	closing := response.Close
+	if !closing {
+		_, err := io.Copy(io.Discard, response.Body)
+		closing = err != nil
+	}
+	x.conn.limited.RemoveLimit()
+	x.returnConnection(closing)
+	reason := call.ReasonDeclined
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		reason = call.ReasonOtherEndpoint
+	}
+	return call.Result{Outcome: call.Rejected, Reason: reason, Sent: true}
+}
+
 // returnConnection returns the connection to the pool if the request and the response
 // on it are complete, and closes it otherwise.
 func (x *exchange) returnConnection(closing bool) {
