localendpoint: stop watching the caller before its connection is reused

A call could fail with 502 because the caller of another one had left.

Cause: the watch that closes the endpoint's connection when an idempotent caller leaves was stopped after the connection had been returned to the pool. In between, another call could take the connection and lose it.

The watch is stopped first now; a connection whose watch has fired is not reused.

--- a/localendpoint/exchange.go
+++ b/localendpoint/exchange.go
@@ -61,6 +61,9 @@
 	sendErr  error
 	// connectionRefused is set when nothing listens at the endpoint's address.
 	connectionRefused bool
+	// stopWatch ends the watch that closes the connection with the caller's context. It
+	// reports false if the context has ended.
+	stopWatch func() bool
 	// releaseSlot releases the slot. Calls after the first have no effect.
 	releaseSlot func(result call.Result)
 }
@@ -77,24 +80,21 @@
 	// This deadline does not advance while the machine is suspended; the ingress
 	// applies its own deadline.
 	_ = conn.SetDeadline(time.Now().Add(x.remaining + responseGrace)) // The next read returns the error.
-	stop := func() bool { return true }
+	x.stopWatch = func() bool { return true }
 	if x.call.Idempotent() {
-		stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+		x.stopWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	}
 	if err := x.send(); err != nil {
-		stop()
-		_ = conn.Close()
+		x.closeConnection()
 		return call.Result{Outcome: call.Broken, Reason: call.ReasonNoResponse, Sent: true}
 	}
-	result := x.readResponse(ctx)
-	if result.Response == nil || result.Response.Stream == nil {
-		if !stop() {
-			_ = conn.Close()
-		}
-		return result
-	}
-	result.Response.Stream.(*responseStream).stopWatch = stop
-	return result
+	return x.readResponse(ctx)
+}
+
+// closeConnection closes the connection, which carries no further call.
+func (x *exchange) closeConnection() {
+	x.stopWatch()
+	_ = x.conn.Close()
 }
 
 // send writes the head and a short body. A long body is written while the response
@@ -258,7 +258,7 @@
 }
 
 func (x *exchange) fail(ctx context.Context, reason string, err error) call.Result {
-	_ = x.conn.Close()
+	x.closeConnection()
 	outcome := call.Broken
 	var timeout interface{ Timeout() bool }
 	switch {
@@ -313,8 +313,10 @@
 }
 
 // returnConnection returns the connection to the pool if the request and the response
-// on it are complete, and closes it otherwise.
+// on it are complete, and closes it otherwise. The watch ends first: it must not close
+// the connection of the next call.
 func (x *exchange) returnConnection(closing bool) {
+	closing = !x.stopWatch() || closing
 	select {
 	case <-x.bodySent:
 		if !closing && x.sendErr == nil && x.conn.r.Buffered() == 0 {
@@ -337,13 +339,12 @@
 // responseStream is the body of a long response. Its call holds the slot until
 // Close.
 type responseStream struct {
-	x         *exchange
-	prefix    []byte
-	rest      io.Reader
-	closing   bool
-	complete  bool
-	stopWatch func() bool
-	once      sync.Once
+	x        *exchange
+	prefix   []byte
+	rest     io.Reader
+	closing  bool
+	complete bool
+	once     sync.Once
 }
 
 // Read returns the next bytes, or an error if the endpoint truncated the body.
@@ -362,10 +363,10 @@
 // end.
 func (s *responseStream) Close() error {
 	s.once.Do(func() {
-		if s.stopWatch() && s.complete {
+		if s.complete {
 			s.x.returnConnection(s.closing)
 		} else {
-			_ = s.x.conn.Close()
+			s.x.closeConnection()
 		}
 		outcome := call.Answered
 		if !s.complete {
