hostnode: respond to the calls that outlast a stopping process

Callers of a stopping node lost calls that lasted longer than the process: their connections ended without a response after 5.7 s. Calls of other hosts that still waited there for the endpoint ended with 502, as if they had been executed.

Cause: the process ended at its drain limit whatever was in flight. Only calls that arrived 2.3 s after the stop signal were checked against that limit; calls with longer timeouts that arrived before were not.

TestStopAnswersCallsThatOutlastIt failed before (1 call in flight after the stop, expected 0).

300 ms before the limit the node now ends the calls in flight: 503 with Retry-After if no endpoint has received the call, else 502. It waits 100 ms for the other host to confirm that a waiting call was not executed. Calls of other hosts that wait at this node are rejected, so that they go to other hosts. New calls are checked against this earlier time. Event 2506 says what was ended.

--- a/call/call.go
+++ b/call/call.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/routeplan"
 )
@@ -106,8 +108,13 @@
 	ReasonCancelled          = "caller_left"
 	ReasonBodyIncomplete     = "request_body_incomplete"
 	ReasonConnectionClosed   = "connection_closed"
+	ReasonNodeStopping       = "node_stopping"
 )
 
+// ErrNodeStopping is the cause of a cancelled context when the node that accepted the
+// call ends. The client still gets a response.
+var ErrNodeStopping = errors.New("call: node is stopping")
+
 // Result is the outcome of one attempt.
 type Result struct {
 	Outcome AttemptOutcome
--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -6,6 +6,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -107,10 +108,27 @@
 	case result := <-o.result:
 		return m.finishRun(id, o, result)
 	case <-ctx.Done():
-		m.removeOutgoing(id)
-		_ = m.send(transport.KindCallCancel, cancelFrame{Stream: id}) // The peer cancels the call too if the link is lost.
-		return call.Result{Outcome: call.Expired, Reason: call.ReasonCancelled, Sent: o.mayHaveStarted()}
+		return m.cancelRun(ctx, id, o)
+	}
+}
+
+// cancelConfirmTimeout is how long a stopping node waits for the peer to confirm that a
+// cancelled call has not been executed.
+const cancelConfirmTimeout = 100 * time.Millisecond
+
+// cancelRun cancels a call at the peer. While this node stops, it waits for the peer's
+// result, because a call that has not been executed may be retried by its client.
+func (m *Mux) cancelRun(ctx context.Context, id uint64, o *outgoing) call.Result {
+	_ = m.send(transport.KindCallCancel, cancelFrame{Stream: id}) // The peer cancels the call too if the link is lost.
+	if errors.Is(context.Cause(ctx), call.ErrNodeStopping) {
+		select {
+		case result := <-o.result:
+			return m.finishRun(id, o, result)
+		case <-time.After(cancelConfirmTimeout):
+		}
 	}
+	m.removeOutgoing(id)
+	return call.Result{Outcome: call.Expired, Reason: call.ReasonCancelled, Sent: o.mayHaveStarted()}
 }
 
 // isFetchable reports whether the receiving host fetches the whole body before it
--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -10,7 +10,8 @@
 var (
 	eventStarted          = events.Define(2500, hclog.Info, "node started", "None.")
 	eventStopping         = events.Define(2501, hclog.Info, "node stopping", "None; the node finishes the calls that it has accepted.")
-	eventStopped          = events.Define(2502, hclog.Info, "node stopped", "A count of calls above 0 means that these were not finished within the drain time.")
+	eventStopped          = events.Define(2502, hclog.Info, "node stopped", "A count of calls above 0 means that these got no response within the drain time.")
+	eventCallsAborted     = events.Define(2506, hclog.Warn, "calls in flight ended before the process", "Calls lasted longer than the drain time; compare the timeouts of the routes with it.")
 	eventSettingsReloaded = events.Define(2503, hclog.Info, "settings reloaded", "None.")
 	eventSettingsRejected = events.Define(2504, hclog.Error, "settings rejected", "The previous settings stay active; correct the file.")
 	eventSuspended        = events.Define(2505, hclog.Warn, "process was suspended or stalled", "After a long gap the node reconnects to the other hosts; a suspended machine or an overloaded core are the usual causes.")
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -43,6 +43,8 @@
 	// longHead makes the endpoint send responses with a head longer than a frame of a
 	// link.
 	longHead atomic.Bool
+	// hangs makes the endpoint execute calls until their connection closes.
+	hangs atomic.Bool
 }
 
 // hostCounter counts the hosts of this process.
@@ -83,10 +85,13 @@
 	if err != nil {
 		panic(err)
 	}
-	h.endpoint = &http.Server{Handler: standin.EndpointHandler(func(w http.ResponseWriter, _ *http.Request, id, caller string) {
+	h.endpoint = &http.Server{Handler: standin.EndpointHandler(func(w http.ResponseWriter, r *http.Request, id, caller string) {
 		h.mu.Lock()
 		h.executions[id]++
 		h.mu.Unlock()
+		if h.hangs.Load() {
+			<-r.Context().Done()
+		}
 		if h.longHead.Load() {
 			w.Header().Set("Long", strings.Repeat("x", transport.MaxFrameBytes))
 		}
@@ -373,6 +378,41 @@
 	})
 }
 
+// Guards against calls that get no response because they last longer than the process
+// may after a stop signal.
+func TestStopAnswersCallsThatOutlastIt(t *testing.T) {
+	Convey("a host with a drain time of 1 s", t, func() {
+		f := newFixture(t)
+		defer f.close()
+		f.store.Write(platform.ConfigKey, standin.ConfigWithRoutes(1, standin.Route{Path: "one", Service: "one"}, standin.Route{Path: "once", Service: "one", AtMostOnce: true}))
+		a := f.addHost("host-a", "one")
+		waitFor(func() bool { return a.announce("one", "ready") == http.StatusOK })
+		waitFor(func() bool { status, _ := a.get("first", "/one/x"); return status == http.StatusOK })
+		text, err := os.ReadFile(a.path())
+		So(err, ShouldBeNil)
+		So(os.WriteFile(a.path(), []byte(strings.Replace(string(text), "drain-s = 6", "drain-s = 1", 1)), 0o600), ShouldBeNil)
+		a.node.Reload()
+		a.hangs.Store(true)
+		for _, path := range []string{"/one/x", "/once/x"} {
+			Convey("a call is executed when the host stops: "+path, func() {
+				status := make(chan int, 1)
+				go func() {
+					got, _ := a.get("second", path)
+					status <- got
+				}()
+				waitFor(func() bool {
+					a.mu.Lock()
+					defer a.mu.Unlock()
+					return a.executions["second"] == 1
+				})
+				a.node.Stop()
+				So(a.node.ingress.Active(), ShouldEqual, 0)
+				So(<-status, ShouldEqual, http.StatusBadGateway)
+			})
+		}
+	})
+}
+
 // Guards against problems in settings that are reported one at a time, or not at
 // all.
 func TestSettings(t *testing.T) {
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -44,6 +44,9 @@
 	// drainReserve is the part of the drain time that is reserved for ending the
 	// process.
 	drainReserve = 300 * time.Millisecond
+	// abortReserve is the part of the drain time before drainReserve in which the calls
+	// that are still in flight get a response.
+	abortReserve = 300 * time.Millisecond
 	// reloadInterval is the interval at which the settings file is read again,
 	// because it may change without a signal.
 	reloadInterval = 2 * time.Second
@@ -247,21 +250,21 @@
 }
 
 // Stop drains the node and ends it once the calls that it has read and those of its
-// peers have finished, or when the drain time is over.
+// peers have finished. Shortly before the drain time is over, it ends those that are
+// still in flight.
 func (n *Node) Stop() {
 	started := time.Now()
 	n.stopping.Store(true)
 	limit := n.settings.Load().Drain - drainReserve
-	n.ingress.Drain(boottime.Now()+drainNotice, boottime.Now()+limit)
+	abortAfter := limit - abortReserve
+	n.ingress.Drain(boottime.Now()+drainNotice, boottime.Now()+abortAfter)
 	n.directory.ReportNow()
 	eventStopping.Log(n.logger, "calls", n.ingress.Active())
-	for time.Since(started) < limit {
-		if time.Since(started) > drainNotice && n.ingress.CloseIdle() == 0 && n.endpointCalls() == 0 {
-			// A request may arrive on a new connection until the listener is closed.
-			_ = n.calls.Close() // It may be closed already.
-			if n.ingress.CloseIdle() == 0 && n.endpointCalls() == 0 {
-				break
-			}
+	aborted := false
+	for time.Since(started) < limit && !(time.Since(started) > drainNotice && n.closeIfDrained()) {
+		if !aborted && time.Since(started) > abortAfter {
+			aborted = true
+			n.abortCalls()
 		}
 		time.Sleep(drainPollInterval)
 	}
@@ -270,6 +273,27 @@
 	n.closeListeners()
 }
 
+// closeIfDrained closes the listener for calls and reports true if no call is in flight.
+func (n *Node) closeIfDrained() bool {
+	if !n.isDrained() {
+		return false
+	}
+	// A request may arrive on a new connection until the listener is closed.
+	_ = n.calls.Close() // It may be closed already.
+	return n.isDrained()
+}
+
+// isDrained closes idle connections and reports whether no call is in flight.
+func (n *Node) isDrained() bool { return n.ingress.CloseIdle() == 0 && n.endpointCalls() == 0 }
+
+// abortCalls ends the calls in flight. Those of peers that wait for the endpoint may
+// still be executed at another host.
+func (n *Node) abortCalls() {
+	eventCallsAborted.Log(n.logger, "calls", n.ingress.Active(), "endpoint_calls", n.endpointCalls())
+	n.ingress.Abort()
+	n.registration.RejectWaiting()
+}
+
 // closeListeners closes the listeners and the servers.
 func (n *Node) closeListeners() {
 	for _, l := range n.listeners {
--- /dev/null
+++ b/ingress/abort_test.go
@@ -0,0 +1,56 @@
+package ingress_test
+
+import (
+	"io"
+	"net/http"
+	"runtime"
+	"strconv"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against calls that end without a response because the process ends before
+// them.
+func TestAbortedCallsGetAResponse(t *testing.T) {
+	for _, path := range []string{"/read/", "/order/"} {
+		Convey("four calls are executed and one waits for a slot: "+path, t, func() {
+			started := make(chan struct{}, 5)
+			ts := newTestServer(func(_ http.ResponseWriter, r *http.Request) {
+				started <- struct{}{}
+				<-r.Context().Done()
+			})
+			defer ts.close()
+			ts.plan.Activate(testPlan(1))
+			const executed = 4
+			statuses := make(chan [2]string, executed+1)
+			send := func(id int) {
+				c, r := ts.dial()
+				_, err := io.WriteString(c, get(strconv.Itoa(id), path+strconv.Itoa(id)))
+				So(err, ShouldBeNil)
+				go func() {
+					defer func() { _ = c.Close() }()
+					status, _, h := readResponse(r)
+					statuses <- [2]string{strconv.Itoa(status), h.Get("Retry-After")}
+				}()
+			}
+			for i := range executed {
+				send(i)
+				<-started
+			}
+			send(executed)
+			for ts.server.Active() <= executed {
+				runtime.Gosched()
+			}
+			ts.server.Abort()
+			counts := map[string]int{}
+			for range executed + 1 {
+				got := <-statuses
+				counts[got[0]]++
+				So(got[1] != "", ShouldEqual, got[0] == "503")
+			}
+			So(counts, ShouldResemble, map[string]int{"502": executed, "503": 1})
+			So(len(started), ShouldEqual, 0)
+		})
+	}
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -129,7 +129,7 @@
 	isLast := x.closeAfter
 	if !x.Nested && x.c.server.outlastsDrain(cl.Remaining) {
 		x.closeAfter = true
-		x.writeFailure(http.StatusServiceUnavailable, "node_stopping", drainRetryAfter)
+		x.writeFailure(http.StatusServiceUnavailable, call.ReasonNodeStopping, drainRetryAfter)
 		return false
 	}
 	if request.ContentLength == 0 {
@@ -227,6 +227,15 @@
 	x.finish()
 }
 
+// writeAborted responds to a call that was ended because the node stops.
+func (x *exchange) writeAborted() {
+	if x.SentAttempts == 0 {
+		x.writeFailure(http.StatusServiceUnavailable, call.ReasonNodeStopping, drainRetryAfter)
+		return
+	}
+	x.writeFailure(http.StatusBadGateway, call.ReasonNodeStopping, 0)
+}
+
 // forward forwards the call and writes its response.
 func (x *exchange) forward(ctx context.Context, cl *call.Call) {
 	forwarder := x.c.server.config.Forwarder
@@ -247,11 +256,14 @@
 			x.writeFailure(http.StatusRequestEntityTooLarge, "body_too_long", 0)
 			return
 		}
-		if ctx.Err() != nil {
+		switch {
+		case errors.Is(context.Cause(ctx), call.ErrNodeStopping):
+			x.writeAborted()
+		case ctx.Err() != nil:
 			x.finishCancelled()
-			return
+		default:
+			x.writeFailure(http.StatusGatewayTimeout, r.Reason, 0)
 		}
-		x.writeFailure(http.StatusGatewayTimeout, r.Reason, 0)
 	case call.Broken:
 		x.writeFailure(http.StatusBadGateway, r.Reason, 0)
 	}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -94,6 +94,9 @@
 
 // attempt makes one attempt and reports whether another one follows.
 func (s *callState) attempt(ctx context.Context) (call.Result, bool) {
+	if ctx.Err() != nil {
+		return call.Result{Outcome: call.Expired, Reason: call.ReasonCancelled}, false
+	}
 	now := s.forwarder.Clock()
 	s.c.Remaining, s.c.TargetRemaining = s.deadline-now, s.targetBy-now
 	next, found := s.chooseDestination()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -136,6 +136,16 @@
 	s.draining.Store(true)
 }
 
+// Abort ends the calls in flight before the process ends. Each still gets a response: a
+// rejection if no endpoint has received the call.
+func (s *Server) Abort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.cancel(call.ErrNodeStopping)
+	}
+}
+
 // outlastsDrain reports whether a call with the given remaining time may end after the
 // server has stopped.
 func (s *Server) outlastsDrain(remaining time.Duration) bool {
@@ -173,7 +183,9 @@
 	conn    net.Conn
 	r       *bufio.Reader
 	limited *readlimit.Conn
-	ctx     context.Context
+	// ctx ends when the client disconnects, or with the cause call.ErrNodeStopping.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 
 	mu sync.Mutex
 	// pending counts the requests without a complete response.
@@ -203,6 +215,7 @@
 func (s *Server) addConnection(raw net.Conn) *connection {
 	c := &connection{server: s, conn: raw, limited: readlimit.NewConn(raw), lastDone: make(chan struct{})}
 	c.r = bufio.NewReaderSize(c.limited, readBufferBytes)
+	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	close(c.lastDone)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -217,9 +230,7 @@
 
 // serveConnection serves a connection until it is closed.
 func (s *Server) serveConnection(c *connection) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	c.ctx = ctx
+	defer c.cancel(nil)
 	defer func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -230,7 +241,7 @@
 	disconnected := c.discardInput()
 	select {
 	case <-disconnected:
-		cancel()
+		c.cancel(nil)
 	case <-c.lastDone:
 	}
 	<-c.lastDone
--- a/localendpoint/exchange.go
+++ b/localendpoint/exchange.go
@@ -68,6 +68,18 @@
 	releaseSlot func(result call.Result)
 }
 
+// rejectionReason returns the reason why the call must not be sent although it has a
+// slot, else "".
+func (x *exchange) rejectionReason(ctx context.Context) string {
+	switch {
+	case ctx.Err() != nil:
+		return call.ReasonCancelled
+	case x.remaining < minTimeLeft:
+		return call.ReasonCannotFinishInTime
+	}
+	return ""
+}
+
 // roundTrip sends the call and reads its response; a long response body is streamed.
 func (x *exchange) roundTrip(ctx context.Context) call.Result {
 	recentOnly := !x.call.Idempotent()
@@ -80,10 +92,11 @@
 	// This deadline does not advance while the machine is suspended; the ingress
 	// applies its own deadline.
 	_ = conn.SetDeadline(time.Now().Add(x.remaining + responseGrace)) // The next read returns the error.
-	x.stopWatch = func() bool { return true }
-	if x.call.Idempotent() {
-		x.stopWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
-	}
+	x.stopWatch = context.AfterFunc(ctx, func() {
+		if x.call.Idempotent() || errors.Is(context.Cause(ctx), call.ErrNodeStopping) {
+			_ = conn.Close()
+		}
+	})
 	if err := x.send(); err != nil {
 		x.closeConnection()
 		return call.Result{Outcome: call.Broken, Reason: call.ReasonNoResponse, Sent: true}
--- a/localendpoint/gate.go
+++ b/localendpoint/gate.go
@@ -80,8 +80,8 @@
 			g.finishAttempt(e, ticket, r, g.clock()-started)
 		})
 	}
-	if x.remaining < minTimeLeft {
-		r := call.Result{Outcome: call.Rejected, Reason: call.ReasonCannotFinishInTime}
+	if reason := x.rejectionReason(ctx); reason != "" {
+		r := call.Result{Outcome: call.Rejected, Reason: reason}
 		x.releaseSlot(r)
 		return g.report(c, e, r, started-arrived, 0)
 	}
--- a/localendpoint/gate_test.go
+++ b/localendpoint/gate_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -374,3 +375,41 @@
 		So(e.requests.Load(), ShouldEqual, 3)
 	})
 }
+
+// Guards against calls of other hosts that wait for the endpoint of a node until it
+// ends, although another host could execute them.
+func TestWaitingCallsAreRejected(t *testing.T) {
+	Convey("two calls are executed and one waits", t, func() {
+		started, release := make(chan struct{}, 3), make(chan struct{})
+		e := newStubEndpoint(func(c net.Conn, r *http.Request) bool {
+			started <- struct{}{}
+			<-release
+			return writeResponse(c, r.Header.Get("Id"), "", "ok")
+		})
+		defer e.close()
+		g, r := newGate(e)
+		results := make(chan call.Result, 3)
+		run := func() {
+			c := newCall(routeplan.AtMostOnce)
+			c.Header.Set("Id", c.ID)
+			results <- g.Run(context.Background(), c)
+		}
+		for range 2 {
+			go run()
+			<-started
+		}
+		go run()
+		for r.Current().Queue.Load().Waiting == 0 {
+			runtime.Gosched()
+		}
+		r.RejectWaiting()
+		rejected := <-results
+		So(rejected.Outcome, ShouldEqual, call.Rejected)
+		So(rejected.Reason, ShouldEqual, call.ReasonEndpointDraining)
+		So(rejected.Sent, ShouldBeFalse)
+		close(release)
+		for range 2 {
+			So((<-results).Outcome, ShouldEqual, call.Answered)
+		}
+	})
+}
--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -207,6 +207,14 @@
 	return true
 }
 
+// RejectWaiting rejects the calls that wait for the current endpoint, and all further
+// ones, because the node stops.
+func (r *Registration) RejectWaiting() {
+	if e := r.Current(); e != nil {
+		e.Queue.Close(reasonDraining)
+	}
+}
+
 // Remove removes an endpoint that is no longer at its address: nothing listens
 // there, or another endpoint does. The next announcement registers the endpoint
 // that is there. Until then other hosts send no calls to this host.
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -281,6 +281,26 @@
 			So(a.ByService("s")[0].Run(ctx, newCall(nil)).Outcome, ShouldEqual, call.Expired)
 			<-ended
 		})
+		Convey("the node of the caller stops while the call waits at the other host", func() {
+			rejectCancelled := func(ctx context.Context, _ *call.Call) call.Result {
+				started <- struct{}{}
+				<-ctx.Done()
+				return call.Result{Outcome: call.Rejected, Reason: call.ReasonCancelled}
+			}
+			a, b := newHost("a", 1, echo), newHost("b", 2, rejectCancelled)
+			defer a.close()
+			defer b.close()
+			a.AddRecords(b.record)
+			a.waitForPeers(1)
+			ctx, cancel := context.WithCancelCause(context.Background())
+			go func() {
+				<-started
+				cancel(call.ErrNodeStopping)
+			}()
+			r := a.ByService("s")[0].Run(ctx, newCall(nil))
+			So(r.Outcome, ShouldEqual, call.Rejected)
+			So(r.Sent, ShouldBeFalse)
+		})
 		Convey("the link closes", func() {
 			a, b := newHost("a", 1, echo), newHost("b", 2, waitForCancel)
 			defer a.close()
