Run the tests of links between hosts in fake time

What failed: two tests of package peers, beside load. - TestAddressReusedByAnotherHost, line 320: the link to the host had been replaced. ShouldEqual then described both links by reading their fields while they were in use, so that the race detector reported data races. - TestSilentHostIsStaleBeforeItsLinkCloses, lines 362 and 374: a host that reports was stale.

Cause: the tests ran in real time on loopback. A test process that does not run for longer than linkTimeout (1.5 s) closes its links and dials again, and one that does not run for 0.2 to 0.4 s makes a peer stale (staleAfter 800 ms, reports up to 600 ms apart). That is what the code promises; the tests took it for a fault. The reported races are between the description of the link by the test and the link itself; none is in the product.

Why the fix works: the tests run in a bubble of testing/synctest over transport/faultnet, for which peers.Config gets the dialer of its transport manager, so every time they check is fake. All bounds are unchanged. Links are compared by their pointers.

--- a/peers/directory.go
+++ b/peers/directory.go
@@ -58,6 +58,8 @@
 	Self   Record
 	Logger hclog.Logger
 	Clock  boottime.Clock
+	// Dial opens the connections of links; nil means net.Dialer.
+	Dial transport.DialFunc
 	// Local executes the calls of peers at the endpoint of this host.
 	Local call.Runner
 	// LocalStatus returns this host's status without its record.
@@ -117,7 +119,7 @@
 	d.byService.Store(&map[mesh.ServiceName][]*Peer{})
 	d.hostCount.Store(1)
 	d.manager = transport.NewManager(transport.Config{
-		Self: config.Self.Host, Logger: config.Logger, QueueLength: linkQueueFrames,
+		Self: config.Self.Host, Logger: config.Logger, Dial: config.Dial, QueueLength: linkQueueFrames,
 		HandshakesPerSecond: handshakesPerSecond,
 		OnUp:                d.onLinkUp, OnDown: d.onLinkDown, OnMessage: d.onMessage,
 	})
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -4,11 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -20,6 +21,7 @@
 	"geraniumnotch.example/geraniumnotch/plansync"
 	"geraniumnotch.example/geraniumnotch/routeplan"
 	"geraniumnotch.example/geraniumnotch/transport"
+	"geraniumnotch.example/geraniumnotch/transport/faultnet"
 )
 
 // runnerFunc executes calls of peers by a function.
@@ -33,6 +35,7 @@
 	record       peers.Record
 	server       *http.Server
 	stop         context.CancelFunc
+	ended        chan struct{}
 	version      atomic.Uint64
 	planVersions chan uint64
 	plans        chan routeplan.Delta
@@ -40,21 +43,36 @@
 	paused atomic.Bool
 }
 
-func newHost(name string, incarnation int64, run runnerFunc) *host {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// testNetwork is the in-memory network of a test. Its tests run in a bubble of
+// testing/synctest, so that no deadline depends on the load of the machine.
+type testNetwork struct {
+	*faultnet.Network
+	hosts int
+}
+
+// inBubble runs a specification on a new network in a synctest bubble.
+func inBubble(t *testing.T, name string, specification func(c C, n *testNetwork)) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey(name, t, func(c C) { specification(c, &testNetwork{Network: faultnet.New()}) })
+	})
+}
+
+// now is the clock of the bubble, which boottime.Now does not read.
+func now() boottime.Time { return time.Duration(time.Now().UnixNano()) }
+
+func (n *testNetwork) newHost(name string, incarnation int64, run runnerFunc) *host {
+	n.hosts++
+	address := fmt.Sprintf("10.0.0.%d:1", n.hosts)
+	l, err := n.Listen(address)
 	if err != nil {
 		panic(err)
 	}
-	return newHostOn(l, name, incarnation, run)
-}
-
-func newHostOn(l net.Listener, name string, incarnation int64, run runnerFunc) *host {
 	h := &host{
-		record:       peers.Record{Host: mesh.HostID(name), Address: l.Addr().String(), FailureDomain: "d", Incarnation: incarnation, LinkMbps: 8},
-		planVersions: make(chan uint64, 1000), plans: make(chan routeplan.Delta, 10),
+		record:       peers.Record{Host: mesh.HostID(name), Address: address, FailureDomain: "d", Incarnation: incarnation, LinkMbps: 8},
+		planVersions: make(chan uint64, 1000), plans: make(chan routeplan.Delta, 10), ended: make(chan struct{}),
 	}
 	h.Directory = peers.New(peers.Config{
-		Self: h.record, Clock: boottime.Now, Local: run,
+		Self: h.record, Clock: now, Dial: transport.DialFunc(n.Dialer(address)), Local: run,
 		LocalStatus: func() peers.Status {
 			for h.paused.Load() {
 				time.Sleep(time.Millisecond)
@@ -78,7 +96,10 @@
 	go func() { _ = h.server.Serve(l) }() // Ends in close.
 	var ctx context.Context
 	ctx, h.stop = context.WithCancel(context.Background())
-	go h.Run(ctx)
+	go func() {
+		defer close(h.ended)
+		h.Run(ctx)
+	}()
 	return h
 }
 
@@ -88,7 +109,7 @@
 func (h *host) close() {
 	h.stop()
 	h.paused.Store(false)
-	h.Manager().Close()
+	<-h.ended
 	_ = h.server.Close()
 }
 
@@ -132,8 +153,8 @@
 // Guards against a link on which only the dialing host finds the other one, and
 // against bodies that change or block on their way.
 func TestCallsBetweenHosts(t *testing.T) {
-	Convey("a host sends calls to a peer whose record it did not know", t, func() {
-		a, b := newHost("a", 1, echo), newHost("b", 2, echo)
+	inBubble(t, "a host sends calls to a peer whose record it did not know", func(_ C, n *testNetwork) {
+		a, b := n.newHost("a", 1, echo), n.newHost("b", 2, echo)
 		defer a.close()
 		defer b.close()
 		b.AddRecords(a.record)
@@ -159,7 +180,7 @@
 // Guards against a body that is fetched only once its call holds a slot, and against
 // one that is fetched although its call has ended.
 func TestBodyIsFetchedBeforeTheCallRuns(t *testing.T) {
-	Convey("a host with a link of 8 Mbit/s", t, func(c C) {
+	inBubble(t, "a host with a link of 8 Mbit/s", func(c C, n *testNetwork) {
 		body := bytes.Repeat([]byte("x"), 200_000)
 		fetched := make(chan error, 1)
 		run := func(ctx context.Context, sent *call.Call) call.Result {
@@ -183,7 +204,7 @@
 			c.So(remote.ExpectedFetchTime(), ShouldEqual, 200*time.Millisecond)
 			return call.Result{Outcome: call.Answered, Response: &call.Response{Status: 200}}
 		}
-		a, b := newHost("a", 1, echo), newHost("b", 2, run)
+		a, b := n.newHost("a", 1, echo), n.newHost("b", 2, run)
 		defer a.close()
 		defer b.close()
 		b.AddRecords(a.record)
@@ -204,7 +225,7 @@
 // Guards against a call that is reported as sent, and so not sent to another host,
 // although its body was never complete at the first one.
 func TestCallWithIncompleteBodyIsNotExecuted(t *testing.T) {
-	Convey("the link closes before or after the body is fetched", t, func() {
+	inBubble(t, "the link closes before or after the body is fetched", func(_ C, n *testNetwork) {
 		reached := make(chan struct{}, 2)
 		fetch := false
 		run := func(ctx context.Context, c *call.Call) call.Result {
@@ -219,7 +240,7 @@
 		}
 		for _, fetched := range []bool{false, true} {
 			fetch = fetched
-			a, b := newHost("a", 1, echo), newHost("b", 2, run)
+			a, b := n.newHost("a", 1, echo), n.newHost("b", 2, run)
 			b.AddRecords(a.record)
 			a.waitForPeers(1)
 			result := make(chan call.Result, 1)
@@ -239,7 +260,7 @@
 // Guards against a truncated response that looks complete, and against a wrong
 // outcome of calls when their link closes.
 func TestInterruptedCalls(t *testing.T) {
-	Convey("two hosts", t, func() {
+	inBubble(t, "two hosts", func(_ C, n *testNetwork) {
 		started := make(chan struct{}, 10)
 		ended := make(chan struct{}, 10)
 		waitForCancel := func(ctx context.Context, _ *call.Call) call.Result {
@@ -257,7 +278,7 @@
 				}()
 				return call.Result{Outcome: call.Answered, Response: &call.Response{Status: 200, BodyBytes: 200_000, Stream: r}}
 			}
-			a, b := newHost("a", 1, echo), newHost("b", 2, failMidBody)
+			a, b := n.newHost("a", 1, echo), n.newHost("b", 2, failMidBody)
 			defer a.close()
 			defer b.close()
 			a.AddRecords(b.record)
@@ -268,7 +289,7 @@
 			r.Response.Close()
 		})
 		Convey("the caller cancels the call", func() {
-			a, b := newHost("a", 1, echo), newHost("b", 2, waitForCancel)
+			a, b := n.newHost("a", 1, echo), n.newHost("b", 2, waitForCancel)
 			defer a.close()
 			defer b.close()
 			a.AddRecords(b.record)
@@ -282,7 +303,7 @@
 			<-ended
 		})
 		Convey("the link closes", func() {
-			a, b := newHost("a", 1, echo), newHost("b", 2, waitForCancel)
+			a, b := n.newHost("a", 1, echo), n.newHost("b", 2, waitForCancel)
 			defer a.close()
 			defer b.close()
 			a.AddRecords(b.record)
@@ -303,10 +324,10 @@
 // Guards against dialing the record of a former host at an address, which would
 // replace the link to its current host.
 func TestAddressReusedByAnotherHost(t *testing.T) {
-	Convey("a later host reuses the address of an earlier one", t, func() {
-		a := newHost("a", 1, echo)
+	inBubble(t, "a later host reuses the address of an earlier one", func(_ C, n *testNetwork) {
+		a := n.newHost("a", 1, echo)
 		defer a.close()
-		b := newHost("b", 5, echo)
+		b := n.newHost("b", 5, echo)
 		defer b.close()
 		former := peers.Record{Host: "former", Address: b.record.Address, FailureDomain: "d", Incarnation: 3}
 		a.AddRecords(former, b.record)
@@ -317,15 +338,16 @@
 			// Hosts are dialed at least as often as reports arrive.
 			<-a.planVersions
 		}
-		So(a.Manager().Link("b"), ShouldEqual, link)
+		// ShouldEqual would read the fields of both links to describe a difference.
+		So(a.Manager().Link("b") == link, ShouldBeTrue)
 		So(a.ByService("s"), ShouldHaveLength, 1)
 	})
 }
 
 // Guards against a host that keeps an old plan because its store reads fail.
 func TestPlanRequest(t *testing.T) {
-	Convey("the plan of a peer is requested as a delta", t, func() {
-		a, b := newHost("a", 1, echo), newHost("b", 2, echo)
+	inBubble(t, "the plan of a peer is requested as a delta", func(_ C, n *testNetwork) {
+		a, b := n.newHost("a", 1, echo), n.newHost("b", 2, echo)
 		defer a.close()
 		defer b.close()
 		a.AddRecords(b.record)
@@ -348,8 +370,8 @@
 // Guards against sending calls to a host that no longer responds before its link is
 // closed.
 func TestSilentHostIsStaleBeforeItsLinkCloses(t *testing.T) {
-	Convey("a host that stops reporting", t, func() {
-		a, b := newHost("a", 1, echo), newHost("b", 2, echo)
+	inBubble(t, "a host that stops reporting", func(_ C, n *testNetwork) {
+		a, b := n.newHost("a", 1, echo), n.newHost("b", 2, echo)
 		defer a.close()
 		defer b.close()
 		b.AddRecords(a.record)
@@ -363,15 +385,21 @@
 		So(a.ByService("s"), ShouldHaveLength, 1)
 		waitFor(func() bool { return len(a.ByService("s")) == 0 })
 	})
-	Convey("a host that continues to report", t, func() {
-		a, b := newHost("a", 1, echo), newHost("b", 2, echo)
+	inBubble(t, "a host that continues to report", func(_ C, n *testNetwork) {
+		a, b := n.newHost("a", 1, echo), n.newHost("b", 2, echo)
 		defer a.close()
 		defer b.close()
 		b.AddRecords(a.record)
 		a.waitForPeers(1)
-		for range 30 {
-			time.Sleep(100 * time.Millisecond)
-			So(a.ByService("s")[0].Stale(), ShouldBeFalse)
+		// The report after one that is sent between two checks of the links is the latest
+		// possible.
+		time.Sleep(10 * time.Millisecond)
+		for range 5 {
+			b.ReportNow()
+			for range 6 {
+				time.Sleep(100 * time.Millisecond)
+				So(a.ByService("s")[0].Stale(), ShouldBeFalse)
+			}
 		}
 	})
 }
