Run the test of a hanging endpoint in fake time

What failed: TestHangingEndpointIsEjectedAndRecovers of package proxy, beside load: after 200 calls the hanging endpoint was healthy, expected ejected.

Cause: a call whose deadline ends an attempt counts as a hang only if the attempt lasted at least the hang time, which is eight times the average latency of the service. The test measured the latency of its endpoints in real time. When it exceeds 100 ms, the hang time exceeds the deadline of 800 ms, and no attempt counts. The code does what it promises.

Why the fix works: the test runs in a bubble of testing/synctest, with the servers of the test mesh on transport/faultnet, so latencies are exact. All checks are unchanged. The probe requests a health path, because the probe without one connects over loopback; TestProbe covers that one.

--- a/proxy/cancel_test.go
+++ b/proxy/cancel_test.go
@@ -17,6 +17,7 @@
 	"geraniumnotch.example/geraniumnotch/gate"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/selection"
+	"geraniumnotch.example/geraniumnotch/transport/faultnet"
 )
 
 // Guards against a call that keeps its slot after its caller cancelled it.
@@ -115,10 +116,16 @@
 	})
 }
 
+// inBubble runs a specification in a synctest bubble, in which latencies do not depend
+// on the load of the machine.
+func inBubble(t *testing.T, name string, specification func(t *testing.T)) {
+	synctest.Test(t, func(t *testing.T) { Convey(name, t, func() { specification(t) }) })
+}
+
 // Guards against a hanging endpoint that still gets calls, and against one that is
 // still ejected after it works again.
 func TestHangingEndpointIsEjectedAndRecovers(t *testing.T) {
-	Convey("Given three endpoints of which one hangs", t, func() {
+	inBubble(t, "Given three endpoints of which one hangs", func(t *testing.T) {
 		endpoint := newRecordingEndpoint()
 		hanging := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/hurried" {
@@ -129,7 +136,7 @@
 			}
 			endpoint.ServeHTTP(w, r)
 		})
-		m := newTestMesh(t, endpoint, endpoint, hanging)
+		m := newTestMeshOn(faultnet.New(), t, endpoint, endpoint, hanging)
 		now := time.Now()
 		s := selection.New(selection.Config{Domain: "d1", Now: func() time.Time { return now }})
 		m.entry.cfg.Selector = s
--- a/proxy/mesh_test.go
+++ b/proxy/mesh_test.go
@@ -19,6 +19,7 @@
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/routing"
 	"geraniumnotch.example/geraniumnotch/selection"
+	"geraniumnotch.example/geraniumnotch/transport/faultnet"
 )
 
 const testToken = "token-of-acme"
@@ -60,27 +61,54 @@
 	entryServer *httptest.Server
 	explain     *DecisionLog
 	view        *membership.View
+	// network replaces loopback if it is not nil.
+	network *faultnet.Network
+	servers int
 }
 
-func startServer(t testing.TB, h http.Handler) *httptest.Server {
+// startServer starts a server of the mesh.
+func (m *testMesh) startServer(config *http.Server) *httptest.Server {
 	s := httptest.NewUnstartedServer(nil)
-	s.Config = NewServer(h, nil)
+	s.Config = config
+	if m.network != nil {
+		_ = s.Listener.Close() // Nothing uses it.
+		m.servers++
+		l, err := m.network.Listen(fmt.Sprintf("127.0.0.1:%d", m.servers))
+		if err != nil {
+			m.t.Fatal(err)
+		}
+		s.Listener = l
+	}
 	s.Start()
-	t.Cleanup(s.Close)
+	m.t.Cleanup(s.Close)
 	return s
 }
 
+// dial returns the dialer of the mesh, or nil for the default one.
+func (m *testMesh) dial() DialFunc {
+	if m.network == nil {
+		return nil
+	}
+	return DialFunc(m.network.Dialer("127.0.0.2:1"))
+}
+
 // newTestMesh starts one host per endpoint handler.
 func newTestMesh(t testing.TB, handlers ...http.Handler) *testMesh {
-	m := &testMesh{t: t, explain: NewDecisionLog(256), view: &membership.View{Hosts: map[mesh.HostID]*membership.Record{}}}
+	return newTestMeshOn(nil, t, handlers...)
+}
+
+// newTestMeshOn is newTestMesh with an in-memory network, for bubbles of
+// testing/synctest.
+func newTestMeshOn(network *faultnet.Network, t testing.TB, handlers ...http.Handler) *testMesh {
+	m := &testMesh{t: t, network: network, explain: NewDecisionLog(256), view: &membership.View{Hosts: map[mesh.HostID]*membership.Record{}}}
 	for i, h := range handlers {
 		m.addHost(i, h)
 	}
 	m.entry = NewEntry(EntryConfig{
 		Snapshot: &m.current, Selector: selection.New(selection.Config{Domain: "d1"}),
-		Admission: admission.New(admission.Config{}), Running: m.hosts[0].running, Decisions: m.explain, Claims: newFakeClaims(),
+		Admission: admission.New(admission.Config{}), Running: m.hosts[0].running, Decisions: m.explain, Claims: newFakeClaims(), Dial: m.dial(),
 	})
-	m.entryServer = startServer(t, m.entry)
+	m.entryServer = m.startServer(NewServer(m.entry, nil))
 	m.storeSnapshot()
 	t.Cleanup(func() {
 		m.entry.Close()
@@ -92,16 +120,21 @@
 }
 
 func (m *testMesh) addHost(i int, handler http.Handler) {
-	h := &testHost{running: NewRunningCalls(), endpoint: httptest.NewServer(handler)}
-	m.t.Cleanup(h.endpoint.Close)
+	h := &testHost{running: NewRunningCalls(), endpoint: m.startServer(&http.Server{Handler: handler})}
 	id := mesh.HostID(fmt.Sprintf("h%d", i))
 	record := &membership.Record{Host: id, Domain: "d1", State: membership.StateAlive}
 	h.registry = endpoints.New(endpoints.Config{OnChange: func(all []membership.Endpoint) { record.Endpoints = all }})
 	h.registry.Configure(testConfig())
 	h.gate = NewGate(GateConfig{Endpoints: h.registry, Running: h.running})
-	h.server = startServer(m.t, h.gate)
+	healthPath := ""
+	if m.network != nil {
+		h.gate.pools.dial = m.dial()
+		// Without a health path a probe connects over loopback.
+		healthPath = "/health"
+	}
+	h.server = m.startServer(NewServer(h.gate, nil))
 	record.CallAddress = h.server.Listener.Addr().String()
-	_, err := h.registry.Announce("e", endpoints.Announcement{Service: "orders", Address: h.endpoint.Listener.Addr().String(), Slots: 16, TTLMs: 300000})
+	_, err := h.registry.Announce("e", endpoints.Announcement{Service: "orders", Address: h.endpoint.Listener.Addr().String(), HealthPath: healthPath, Slots: 16, TTLMs: 300000})
 	if err != nil {
 		m.t.Fatal(err)
 	}
@@ -133,7 +166,7 @@
 
 func (m *testMesh) do(r *http.Request) reply {
 	// DisableKeepAlives keeps the test's own client from sending a request again.
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DialContext: m.dial(), DisableKeepAlives: true}}
 	resp, err := client.Do(r)
 	if err != nil {
 		return reply{err: err}
