Identify a state of the store by its epoch and revision

The operator wrote version 16 at 15.70 s, acknowledged at 15.95 s. Until 18.77 s calls on its added route got 404 and others were handled by version 13.

Cause: a store that is restored from a copy gives out its revisions again. The version written after the restore got the revision of the version that the reading host had read before, so its comparison found the key unchanged. The host then reported to all others that version 13 is the newest. Only a host that had just started, and compared with revision 0, found version 16.

The class is state of the store that is identified by numbers which a restored store gives out again.

Fix: the store states its epoch in each answer, and a revision is now the pair of epoch and number.

The stand-in store takes copies, restores them and states its epoch.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -342,6 +342,41 @@
 	})
 }
 
+// Guards against a version that is taken for the one read before because a store that
+// was restored from a copy has given out its revision again.
+func TestPlanIsReadAfterARestoreGaveOutItsRevisionAgain(t *testing.T) {
+	for _, names := range [][]string{{"host-a"}, {"host-a", "host-b", "host-c"}} {
+		Convey(fmt.Sprintf("a newer version gets the revision of the one that was read before, %d hosts", len(names)), t, func() {
+			f := newFixture(t)
+			defer f.close()
+			f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
+			for _, name := range names {
+				f.addHost(name, "one")
+			}
+			allHave := func(version uint64) func() bool {
+				return func() bool {
+					for _, h := range f.hosts {
+						if h.node.planKeeper.activeVersion() != version || h.node.directory.HostCount() != len(f.hosts) {
+							return false
+						}
+					}
+					return true
+				}
+			}
+			waitFor(allHave(4))
+			saved := f.store.Copy()
+			f.store.Write(platform.ConfigKey, standin.Config(9, "one"))
+			waitFor(allHave(9))
+			revision := f.store.Revision(platform.ConfigKey)
+			f.store.Restore(saved, standin.Entry{Key: platform.ConfigKey, Value: standin.Config(12, "one")})
+			restored := time.Now()
+			So(f.store.Revision(platform.ConfigKey), ShouldEqual, revision)
+			waitFor(allHave(12))
+			So(time.Since(restored), ShouldBeLessThan, 2*time.Second)
+		})
+	}
+}
+
 // Guards against problems in settings that are reported one at a time, or not at
 // all.
 func TestSettings(t *testing.T) {
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -45,8 +45,8 @@
 	onStoreRecovered func()
 
 	mu sync.Mutex
-	// revision is the store's revision of the plan that was read last.
-	revision uint64
+	// lastRead identifies the state of the store's plan that was read last.
+	lastRead platform.Revision
 	// recent holds the latest active plans, as bases of deltas.
 	recent []*routeplan.Plan
 
@@ -173,22 +173,23 @@
 	ctx, cancel := context.WithTimeout(ctx, planReadTimeout)
 	defer cancel()
 	began := boottime.Now()
-	item, changed, err := k.store.ReadIfChanged(ctx, platform.ConfigKey, k.revision)
+	item, changed, err := k.store.ReadIfChanged(ctx, platform.ConfigKey, k.lastRead)
 	k.monitor.observe(err)
-	switch {
-	case err != nil:
+	if err != nil {
 		k.tracker.RecordFailedRead(boottime.Now())
-	case changed && item.Revision != 0:
-		k.revision = item.Revision
+		return
+	}
+	k.lastRead = item.Revision
+	exists := item.Revision.Number != 0
+	if changed && exists {
 		k.activateItem(item)
-		k.tracker.RecordRead(began)
-		k.onConfirmed()
-	case k.revision == 0:
+	}
+	if !exists && k.activeVersion() == 0 {
 		k.tracker.RecordNoPlan(boottime.Now())
-	default:
-		k.tracker.RecordRead(began)
-		k.onConfirmed()
+		return
 	}
+	k.tracker.RecordRead(began)
+	k.onConfirmed()
 }
 
 // sleep waits for d and reports false when ctx ended first.
