Register again in a new epoch of the store

What callers could see: after a restore of the store, records of hosts that had registered since the copy was made stay away, so that hosts that start do not find them.

The renewal of a lease whose ID now belongs to another owner succeeds, while the record that was written under it is gone. And a restore between two reads fails no call, so that no host was told of it: renewals are 18 s apart.

Fix: a lease is the pair of epoch and ID. A renewal or a write that is answered in another epoch finds the lease gone, and the host registers again. Hosts pass the latest known epoch on in their status reports, under a new optional key. plansync counts a new epoch as a recovery of the store, which makes every host renew within the recovery spread. A stamp belongs to the epoch that is reported with it: reads of earlier epochs confirm nothing, and a late answer counts as a failed read. Without an epoch, from a store or a program that states none, all is as before.

The store's calls: one renewal, lease, write and list of each host for a restore, and one further comparison of the reading host.

New event 2518, store restored from a copy, with the epochs.

--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -22,6 +22,7 @@
 	eventStoreUnavailable  = events.Define(2513, hclog.Warn, "store unavailable", "The node continues with the plan and the hosts that it knows; check the store.")
 	eventStoreRecovered    = events.Define(2514, hclog.Info, "store available again", "None.")
 	eventRecordMalformed   = events.Define(2515, hclog.Warn, "malformed host record in the store", "Remove the key, or compare the versions of the programs.")
+	eventStoreRestored     = events.Define(2518, hclog.Warn, "store restored from a copy", "None; the node reads the route plan in full and registers again. Entries that others wrote since the copy was made are missing.")
 	eventRegistered        = events.Define(2516, hclog.Info, "host registered in the store", "None.")
 
 	eventAnnouncement         = events.Define(2520, hclog.Info, "endpoint announced itself or deregistered", "None; the verdict says what changed.")
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -377,6 +377,44 @@
 	}
 }
 
+// Guards against a host whose record is lost in a restore of the store while another
+// owner gets its lease ID, so that its renewals succeed without the record.
+func TestHostsRegisterAgainAfterARestoreGaveOutTheirLeaseIDsAgain(t *testing.T) {
+	Convey("the store is restored from a copy older than two records, without a failed call", t, func() {
+		f := newFixture(t)
+		defer f.close()
+		f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
+		recordCount := func() int { return len(f.store.Keys(hostsPrefix)) }
+		f.addHost("host-a", "one")
+		waitFor(func() bool { return recordCount() == 1 })
+		saved := f.store.Copy()
+		f.addHost("host-b", "one")
+		f.addHost("host-c", "one")
+		waitFor(func() bool {
+			for _, h := range f.hosts {
+				if h.node.directory.HostCount() != 3 || h.node.planKeeper.activeVersion() == 0 {
+					return false
+				}
+			}
+			return recordCount() == 3
+		})
+		client := platform.OpenStore(f.store.Address())
+		callsBefore := f.store.Calls("/")
+		f.store.Restore(saved)
+		restored := time.Now()
+		So(recordCount(), ShouldEqual, 1)
+		for range 4 {
+			_, _, err := client.Grant(context.Background(), time.Minute)
+			So(err, ShouldBeNil)
+		}
+		waitFor(func() bool { return recordCount() == 3 })
+		So(time.Since(restored), ShouldBeLessThan, 2*time.Second)
+		// Each host renews, gets a new lease, writes and lists once; the rest are the
+		// grants of the test and comparisons of the plan.
+		So(f.store.Calls("/")-callsBefore, ShouldBeLessThan, 4+3*4+3*3)
+	})
+}
+
 // Guards against problems in settings that are reported one at a time, or not at
 // all.
 func TestSettings(t *testing.T) {
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -108,8 +108,8 @@
 	n.directory = peers.New(peers.Config{
 		Self: record, Logger: logger, Clock: boottime.Now, Local: gate,
 		LocalStatus: n.statusReport, PlanDelta: n.planKeeper.deltaFrom, OnPlan: n.planKeeper.activateDelta,
-		OnPlanReport: func(from mesh.HostID, version uint64, read plansync.Stamp) {
-			n.planKeeper.tracker.RecordReport(from, version, read, boottime.Now())
+		OnPlanReport: func(from mesh.HostID, version uint64, read plansync.Stamp, storeEpoch uint64) {
+			n.planKeeper.tracker.RecordReport(from, version, read, storeEpoch, boottime.Now())
 		},
 	})
 	n.registrar = &registrar{
@@ -130,7 +130,8 @@
 
 // statusReport returns the host's status for its peers.
 func (n *Node) statusReport() peers.Status {
-	s := peers.Status{PlanVersion: n.planKeeper.activeVersion(), PlanRead: n.planKeeper.tracker.LatestStamp(), Draining: n.stopping.Load()}
+	read, epoch := n.planKeeper.tracker.LatestRead()
+	s := peers.Status{PlanVersion: n.planKeeper.activeVersion(), PlanRead: read, StoreEpoch: epoch, Draining: n.stopping.Load()}
 	if e := n.registration.Current(); e != nil && !e.Draining {
 		load, now := e.Queue.Load(), boottime.Now()
 		s.Endpoint = &peers.EndpointStatus{
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -41,7 +41,8 @@
 	// after each read of the store that found a plan, whether new or unchanged.
 	onActivated func(*routeplan.Plan)
 	onConfirmed func()
-	// onStoreRecovered is called when the store answers this host or a peer again.
+	// onStoreRecovered is called when the store answers this host or a peer again, and
+	// when one of them finds it restored from a copy.
 	onStoreRecovered func()
 
 	mu sync.Mutex
@@ -150,8 +151,15 @@
 
 // run keeps the plan current until ctx ends.
 func (k *planKeeper) run(ctx context.Context) {
-	recoveries := uint64(0)
+	recoveries, epoch := uint64(0), uint64(0)
 	for sleep(ctx, planCheckInterval) {
+		k.tracker.RecordEpoch(k.store.Epoch())
+		if latest := k.tracker.Epoch(); latest != epoch {
+			if epoch != 0 {
+				eventStoreRestored.Log(k.logger, "epoch", latest, "before", epoch)
+			}
+			epoch = latest
+		}
 		if n := k.tracker.Recoveries(); n != recoveries {
 			recoveries = n
 			k.onStoreRecovered()
@@ -188,7 +196,10 @@
 		k.tracker.RecordNoPlan(boottime.Now())
 		return
 	}
-	k.tracker.RecordRead(began)
+	if !k.tracker.RecordRead(began, item.Revision.Epoch) {
+		k.tracker.RecordFailedRead(boottime.Now())
+		return
+	}
 	k.onConfirmed()
 }
 
--- a/hostnode/registrar.go
+++ b/hostnode/registrar.go
@@ -44,7 +44,8 @@
 	record   peers.Record
 	logger   hclog.Logger
 	addHosts func(...peers.Record)
-	// storeRecovered signals that the store answers again. Leases may have expired.
+	// storeRecovered signals that the store answers again or was restored from a copy.
+	// Leases may have expired.
 	storeRecovered chan struct{}
 	// hostCount returns the number of hosts that share the store.
 	hostCount func() int
@@ -54,7 +55,7 @@
 }
 
 func (r *registrar) run(ctx context.Context) {
-	lease, renewals := uint64(0), 0
+	lease, renewals := platform.Lease{}, 0
 	for ctx.Err() == nil {
 		err := r.update(ctx, &lease, renewals)
 		r.monitor.observe(err)
@@ -92,16 +93,16 @@
 // update registers the host or renews its lease, and reads the records of the other
 // hosts when that is due. The record is written before the others are read, so that
 // of two hosts that start at the same time at least one finds the other.
-func (r *registrar) update(ctx context.Context, lease *uint64, round int) error {
-	if *lease != 0 {
+func (r *registrar) update(ctx context.Context, lease *platform.Lease, round int) error {
+	if *lease != (platform.Lease{}) {
 		err := r.renew(ctx, *lease)
 		if errors.Is(err, platform.ErrStoreLeaseNotFound) {
-			*lease = 0
+			*lease = platform.Lease{}
 		} else if err != nil {
 			return err
 		}
 	}
-	if *lease == 0 {
+	if *lease == (platform.Lease{}) {
 		granted, err := r.register(ctx)
 		if err != nil {
 			return err
@@ -114,27 +115,27 @@
 	return r.list(ctx, r.listed.Load())
 }
 
-func (r *registrar) renew(ctx context.Context, lease uint64) error {
+func (r *registrar) renew(ctx context.Context, lease platform.Lease) error {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	return r.store.Renew(ctx, lease)
 }
 
-func (r *registrar) register(ctx context.Context) (uint64, error) {
+func (r *registrar) register(ctx context.Context) (platform.Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
 	defer cancel()
 	lease, _, err := r.store.Grant(ctx, leaseLifetime)
 	if err != nil {
-		return 0, err
+		return platform.Lease{}, err
 	}
 	value, err := peers.EncodeRecord(r.record)
 	if err != nil {
-		return 0, err
+		return platform.Lease{}, err
 	}
 	if err := r.store.Put(ctx, hostsPrefix+string(r.record.Host), value, lease); err != nil {
-		return 0, err
+		return platform.Lease{}, err
 	}
-	eventRegistered.Log(r.logger, "lease", lease)
+	eventRegistered.Log(r.logger, "lease", lease.ID, "epoch", lease.Epoch)
 	return lease, nil
 }
 
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -68,8 +68,9 @@
 	// OnPlan is called with a plan that a peer sent.
 	OnPlan func(plan routeplan.Delta, from mesh.HostID)
 	// OnPlanReport is called with the plan version that a peer reports, and the stamp
-	// of the latest store read that the peer knows to have returned it.
-	OnPlanReport func(from mesh.HostID, version uint64, read plansync.Stamp)
+	// of the latest store read that the peer knows to have returned it, and the latest
+	// epoch of the store that the peer knows.
+	OnPlanReport func(from mesh.HostID, version uint64, read plansync.Stamp, storeEpoch uint64)
 }
 
 // Peer is another host. Each placement reads its atomics without the directory's
@@ -256,7 +257,7 @@
 		d.rebuildIndex()
 		d.logStatusChange(p, &s)
 	}
-	d.config.OnPlanReport(p.record.Load().Host, s.PlanVersion, s.PlanRead)
+	d.config.OnPlanReport(p.record.Load().Host, s.PlanVersion, s.PlanRead, s.StoreEpoch)
 }
 
 func (d *Directory) logStatusChange(p *Peer, s *Status) {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
@@ -65,7 +66,7 @@
 			return routeplan.Delta{Base: have, Version: h.version.Load()}, true
 		},
 		OnPlan: func(d routeplan.Delta, _ mesh.HostID) { h.plans <- d },
-		OnPlanReport: func(_ mesh.HostID, version uint64, _ plansync.Stamp) {
+		OnPlanReport: func(_ mesh.HostID, version uint64, _ plansync.Stamp, _ uint64) {
 			select {
 			case h.planVersions <- version:
 			default:
@@ -129,6 +130,30 @@
 	return c
 }
 
+// Guards against status reports that programs of before and after the store's epoch
+// was added cannot exchange.
+func TestStatusReportsWithoutAStoreEpoch(t *testing.T) {
+	type statusWithoutEpoch struct {
+		PlanVersion uint64         `cbor:"2,keyasint,omitempty"`
+		PlanRead    plansync.Stamp `cbor:"5,keyasint"`
+	}
+	read := plansync.Stamp{Reader: "a", Number: 3, Recoveries: 1}
+	Convey("a report without it has the epoch 0", t, func() {
+		frame, err := cbor.Marshal(statusWithoutEpoch{PlanVersion: 7, PlanRead: read})
+		So(err, ShouldBeNil)
+		var s peers.Status
+		So(transport.Message{Body: frame}.Decode(&s), ShouldBeNil)
+		So(s, ShouldResemble, peers.Status{PlanVersion: 7, PlanRead: read})
+	})
+	Convey("a report with it keeps its other fields for programs that do not know it", t, func() {
+		frame, err := cbor.Marshal(peers.Status{PlanVersion: 7, PlanRead: read, StoreEpoch: 2})
+		So(err, ShouldBeNil)
+		var s statusWithoutEpoch
+		So(transport.Message{Body: frame}.Decode(&s), ShouldBeNil)
+		So(s, ShouldResemble, statusWithoutEpoch{PlanVersion: 7, PlanRead: read})
+	})
+}
+
 // Guards against a link on which only the dialing host finds the other one, and
 // against bodies that change or block on their way.
 func TestCallsBetweenHosts(t *testing.T) {
--- a/peers/types.go
+++ b/peers/types.go
@@ -71,6 +71,9 @@
 	Draining bool `cbor:"3,keyasint,omitempty"`
 	// Endpoint is nil while the host has no endpoint that accepts calls.
 	Endpoint *EndpointStatus `cbor:"4,keyasint,omitempty"`
+	// StoreEpoch is the latest known epoch of the store, in which PlanRead was made.
+	// It is 0 when it is not known, and in reports of earlier versions of the program.
+	StoreEpoch uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // planRequest requests the active plan as a delta to the version that the
--- a/plansync/plansync.go
+++ b/plansync/plansync.go
@@ -84,9 +84,12 @@
 	// latestByReader holds the latest known stamp of each reader.
 	latestByReader map[string]Stamp
 	// recoveries counts how often this host or a known reader found the store
-	// answering again.
+	// answering again or restored from a copy.
 	recoveries uint64
-	self       string
+	// epoch is the latest known epoch of the store, 0 when none is known. latestStamp
+	// is of this epoch.
+	epoch uint64
+	self  string
 	// newestKnown is the newest known version, reported by the host newestSource.
 	newestKnown  uint64
 	newestSource mesh.HostID
@@ -117,11 +120,44 @@
 	}
 }
 
-// RecordRead records a read of the store that began at the given time and showed
-// that the active version is the newest.
-func (t *Tracker) RecordRead(began boottime.Time) {
+// RecordEpoch records an epoch of the store. A store that is restored from a copy
+// begins a new one; earlier ones are ignored.
+func (t *Tracker) RecordEpoch(epoch uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.recordEpoch(epoch)
+}
+
+// recordEpoch reports false for an earlier epoch than the latest. The caller holds the
+// lock.
+func (t *Tracker) recordEpoch(epoch uint64) bool {
+	if epoch <= t.epoch {
+		return epoch == t.epoch || epoch == 0
+	}
+	if t.epoch != 0 {
+		t.recoveries++
+		t.latestStamp = Stamp{}
+	}
+	t.epoch = epoch
+	return true
+}
+
+// Epoch returns the latest known epoch of the store, 0 when none is known.
+func (t *Tracker) Epoch() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.epoch
+}
+
+// RecordRead records a read of the store that began at the given time and showed, in
+// the given epoch, that the active version is the newest. It ignores the read and
+// reports false when a later epoch is known.
+func (t *Tracker) RecordRead(began boottime.Time, epoch uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.recordEpoch(epoch) {
+		return false
+	}
 	own := t.latestByReader[t.self]
 	own.Reader = t.self
 	own.Number++
@@ -133,10 +169,11 @@
 	t.confirmedAt = max(t.confirmedAt, began)
 	t.latestByReader[t.self], t.latestStamp = own, own
 	if t.newestKnown <= t.activeVersion {
-		return
+		return true
 	}
 	// The store is authoritative: a peer cannot know a newer version.
 	t.newestKnown = t.activeVersion
+	return true
 }
 
 // RecordFailedRead records a read of the store without a result.
@@ -154,13 +191,18 @@
 	t.confirmedAt = max(t.confirmedAt, now)
 }
 
-// RecordReport records the status report of a peer: its active version, and the
-// stamp of the latest read that it knows to have shown that version.
-func (t *Tracker) RecordReport(from mesh.HostID, version uint64, stamp Stamp, now boottime.Time) {
+// RecordReport records the status report of a peer: its active version, the stamp of
+// the latest read that it knows to have shown that version, and the latest epoch of the
+// store that it knows. A read of an earlier epoch confirms nothing.
+func (t *Tracker) RecordReport(from mesh.HostID, version uint64, stamp Stamp, epoch uint64, now boottime.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	isCurrent := t.recordEpoch(epoch)
 	switch {
 	case version == t.activeVersion && version != 0:
+		if !isCurrent {
+			return
+		}
 		known := t.latestByReader[stamp.Reader]
 		if stamp.Number <= known.Number {
 			return
@@ -175,16 +217,17 @@
 	}
 }
 
-// LatestStamp returns the stamp of the latest read that is known to have shown the
-// active version.
-func (t *Tracker) LatestStamp() Stamp {
+// LatestRead returns the stamp of the latest read that is known to have shown the
+// active version, and the latest known epoch of the store, in which it was made.
+func (t *Tracker) LatestRead() (Stamp, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.latestStamp
+	return t.latestStamp, t.epoch
 }
 
 // Recoveries returns how often this host, or a reader that it has reports of, read
-// the store successfully after a failed read. Leases may have expired meanwhile.
+// the store successfully after a failed read or found it restored from a copy. Leases
+// may have expired meanwhile.
 func (t *Tracker) Recoveries() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/plansync/plansync_test.go
+++ b/plansync/plansync_test.go
@@ -18,6 +18,7 @@
 type simulation struct {
 	now           time.Duration
 	version       uint64
+	epoch         uint64
 	hosts         []*host
 	reads         int
 	storeRejects  func(host int) bool
@@ -34,6 +35,7 @@
 	from    mesh.HostID
 	version uint64
 	stamp   plansync.Stamp
+	epoch   uint64
 }
 
 // deliver passes the reports that are due to their receivers.
@@ -41,7 +43,7 @@
 	remaining := s.inTransit[:0]
 	for _, r := range s.inTransit {
 		if r.due <= s.now {
-			r.to.tracker.RecordReport(r.from, r.version, r.stamp, s.now)
+			r.to.tracker.RecordReport(r.from, r.version, r.stamp, r.epoch, s.now)
 		} else {
 			remaining = append(remaining, r)
 		}
@@ -57,7 +59,7 @@
 }
 
 func newSimulation(hosts int) *simulation {
-	s := &simulation{version: 1, storeRejects: func(int) bool { return false }, isPartitioned: func(int, int) bool { return false }}
+	s := &simulation{version: 1, epoch: 1, storeRejects: func(int) bool { return false }, isPartitioned: func(int, int) bool { return false }}
 	for i := range hosts {
 		s.hosts = append(s.hosts, &host{
 			id: mesh.HostID(fmt.Sprintf("host-%03d", i)), tracker: plansync.New(fmt.Sprint(i), deadline), appliedAt: map[uint64]time.Duration{},
@@ -76,9 +78,10 @@
 
 func (s *simulation) report(from int) {
 	h := s.hosts[from]
+	stamp, epoch := h.tracker.LatestRead()
 	for i, other := range s.hosts {
 		if i != from && !s.isPartitioned(from, i) {
-			s.inTransit = append(s.inTransit, report{s.now + s.reportDelay, other, h.id, h.version, h.tracker.LatestStamp()})
+			s.inTransit = append(s.inTransit, report{s.now + s.reportDelay, other, h.id, h.version, stamp, epoch})
 		}
 	}
 }
@@ -106,7 +109,7 @@
 				continue
 			}
 			s.apply(h, s.version)
-			h.tracker.RecordRead(s.now)
+			h.tracker.RecordRead(s.now, s.epoch)
 			s.report(i)
 		case plansync.AskPeer:
 			for j, other := range s.hosts {
@@ -253,6 +256,69 @@
 	})
 }
 
+// Guards against hosts that do not learn of a restore of the store during which no
+// read failed, so that their records may be missing.
+func TestAllHostsLearnOfARestoreWithoutAFailedRead(t *testing.T) {
+	Convey("the store is restored between two reads", t, func() {
+		s := newSimulation(11)
+		s.run(5 * time.Second)
+		for restores := 1; restores <= 3; restores++ {
+			s.epoch++
+			s.run(1300 * time.Millisecond)
+			for _, h := range s.hosts {
+				So(h.tracker.Recoveries(), ShouldEqual, restores)
+			}
+		}
+	})
+	Convey("reports without an epoch, as earlier versions of the program send them, count as before", t, func() {
+		tracker := plansync.New("self", deadline)
+		tracker.SetActiveVersion(5)
+		So(tracker.RecordRead(time.Second, 2), ShouldBeTrue)
+		tracker.RecordReport("peer", 5, plansync.Stamp{Reader: "peer", Number: 1}, 0, 2*time.Second)
+		So(tracker.Recoveries(), ShouldEqual, 0)
+		action, _ := tracker.Next(2500*time.Millisecond, 1)
+		So(action, ShouldEqual, plansync.Wait)
+	})
+}
+
+// Guards against a late answer from before a restore of the store that counts as a
+// newer read than one from after it.
+func TestReadsOfAnEarlierEpochConfirmNothing(t *testing.T) {
+	newTracker := func() *plansync.Tracker {
+		tracker := plansync.New("self", deadline)
+		tracker.SetActiveVersion(5)
+		tracker.RecordReport("peer", 5, plansync.Stamp{Reader: "peer", Number: 1}, 2, time.Second)
+		return tracker
+	}
+	isDue := func(tracker *plansync.Tracker) bool {
+		action, _ := tracker.Next(2*time.Second, 1)
+		return action == plansync.ReadStore
+	}
+	Convey("a report of an earlier epoch", t, func() {
+		tracker := newTracker()
+		tracker.RecordReport("other", 5, plansync.Stamp{Reader: "other", Number: 1}, 1, 1900*time.Millisecond)
+		So(isDue(tracker), ShouldBeTrue)
+		tracker.RecordReport("other", 6, plansync.Stamp{Reader: "other", Number: 1}, 1, 1900*time.Millisecond)
+		action, from := tracker.Next(2*time.Second, 1)
+		So(action, ShouldEqual, plansync.AskPeer)
+		So(string(from), ShouldEqual, "other")
+	})
+	Convey("an own read whose answer is late", t, func() {
+		tracker := newTracker()
+		So(tracker.RecordRead(1900*time.Millisecond, 1), ShouldBeFalse)
+		So(tracker.Recoveries(), ShouldEqual, 0)
+		So(isDue(tracker), ShouldBeTrue)
+	})
+	Convey("a stamp from before the restore is not passed on", t, func() {
+		tracker := newTracker()
+		tracker.RecordEpoch(3)
+		stamp, epoch := tracker.LatestRead()
+		So(stamp, ShouldResemble, plansync.Stamp{})
+		So(epoch, ShouldEqual, 3)
+		So(tracker.Recoveries(), ShouldEqual, 1)
+	})
+}
+
 // Guards against a burst of versions in which each version costs a store call of
 // each host.
 func TestVersionsInQuickSuccessionNeedFewReads(t *testing.T) {
