plansync: keep a peer's newer version over a read of the store

What callers could see: a host goes on with an older version until the next status report, up to 0.5 s longer.

Cause: a read of the store was taken to show that no peer can have a newer version. A store that was restored from a copy has lost versions that peers have, and a slow read may have begun before the version was written.

Fix: the peer's version stays known, and the host asks the peer. A peer that does not answer is forgotten after the time for its answer, as before.

Evidence: TestAReadDoesNotHideANewerVersionOfAPeer before the fix: Expected: plansync.Action(2) Actual: plansync.Action(0)

--- a/plansync/plansync.go
+++ b/plansync/plansync.go
@@ -168,11 +168,6 @@
 	t.failures, t.noReadBefore = 0, 0
 	t.confirmedAt = max(t.confirmedAt, began)
 	t.latestByReader[t.self], t.latestStamp = own, own
-	if t.newestKnown <= t.activeVersion {
-		return true
-	}
-	// The store is authoritative: a peer cannot know a newer version.
-	t.newestKnown = t.activeVersion
 	return true
 }
 
--- a/plansync/plansync_test.go
+++ b/plansync/plansync_test.go
@@ -281,6 +281,24 @@
 	})
 }
 
+// Guards against a read of a store that has lost a version, or that began before it was
+// written, and that hides the version though a peer has it.
+func TestAReadDoesNotHideANewerVersionOfAPeer(t *testing.T) {
+	Convey("a read ends after a peer has reported a newer version", t, func() {
+		tracker := plansync.New("self", deadline)
+		tracker.SetActiveVersion(5)
+		So(tracker.RecordRead(time.Second, 1), ShouldBeTrue)
+		tracker.RecordReport("peer", 7, plansync.Stamp{Reader: "peer", Number: 1}, 1, 1100*time.Millisecond)
+		So(tracker.RecordRead(1050*time.Millisecond, 1), ShouldBeTrue)
+		action, from := tracker.Next(1200*time.Millisecond, 1)
+		So(action, ShouldEqual, plansync.AskPeer)
+		So(string(from), ShouldEqual, "peer")
+		// A peer that does not answer does not keep the host from reading.
+		action, _ = tracker.Next(1700*time.Millisecond, 1)
+		So(action, ShouldEqual, plansync.ReadStore)
+	})
+}
+
 // Guards against a late answer from before a restore of the store that counts as a
 // newer read than one from after it.
 func TestReadsOfAnEarlierEpochConfirmNothing(t *testing.T) {
