hostnode: read the current records after registering again

What callers could see: for up to 27 s a host that started around a restore of the store and a host that ran before do not find each other, and place no calls there.

Cause: a record is written before the others are read, so that of two hosts at least one finds the other. A host that registered again read a list that may be seconds old, so that it could miss a host that had just started and had not found its record.

Fix: the first list after each registration is a current one. It costs one read in place of a tenth of one, for each host and registration.

The stand-in store can show older states in lists that may be stale.

Evidence: TestHostThatRegistersAgainFindsAHostThatHasJustStarted before the fix, both cases: Line 453: Expected: true Actual: false

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -18,6 +18,8 @@
 	"github.com/hashicorp/go-hclog"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"geraniumnotch.example/geraniumnotch/mesh"
+	"geraniumnotch.example/geraniumnotch/peers"
 	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/platform/standin"
 )
@@ -415,6 +417,44 @@
 	})
 }
 
+// Guards against a host that registers again while another one starts, and a stale list
+// that hides the other one: neither would find the other.
+func TestHostThatRegistersAgainFindsAHostThatHasJustStarted(t *testing.T) {
+	for _, name := range []string{"the store was restored", "the lease has expired"} {
+		Convey(name, t, func() {
+			store := standin.New()
+			defer store.Close()
+			found := map[mesh.HostID]bool{}
+			newRegistrar := func(host mesh.HostID, addHosts func(...peers.Record)) *registrar {
+				return &registrar{
+					store: platform.OpenStore(store.Address()), logger: hclog.NewNullLogger(),
+					record: peers.Record{Host: host, Address: string(host)}, addHosts: addHosts,
+				}
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			running := newRegistrar("running", func(records ...peers.Record) {
+				for _, r := range records {
+					found[r.Host] = true
+				}
+			})
+			var lease, newLease platform.Lease
+			So(running.update(ctx, &lease, 0), ShouldBeNil)
+			saved := store.Copy()
+			store.SetStale(saved)
+			if name == "the lease has expired" {
+				store.ExpireLeases()
+			} else {
+				store.Restore(saved)
+			}
+			started := newRegistrar("started", func(...peers.Record) {})
+			So(started.update(ctx, &newLease, 0), ShouldBeNil)
+			So(running.update(ctx, &lease, 1), ShouldBeNil)
+			So(found["started"], ShouldBeTrue)
+		})
+	}
+}
+
 // Guards against problems in settings that are reported one at a time, or not at
 // all.
 func TestSettings(t *testing.T) {
--- a/hostnode/registrar.go
+++ b/hostnode/registrar.go
@@ -52,6 +52,9 @@
 	monitor   storeMonitor
 	// listed is set once the host records have been read.
 	listed atomic.Bool
+	// currentListDue is set from a registration to the next list: a stale one may lack
+	// hosts that registered meanwhile and have not found this host.
+	currentListDue bool
 }
 
 func (r *registrar) run(ctx context.Context) {
@@ -107,12 +110,12 @@
 		if err != nil {
 			return err
 		}
-		*lease = granted
+		*lease, r.currentListDue = granted, true
 	}
-	if r.listed.Load() && round%renewalsPerList != 0 {
+	if !r.currentListDue && round%renewalsPerList != 0 {
 		return nil
 	}
-	return r.list(ctx, r.listed.Load())
+	return r.list(ctx, !r.currentListDue)
 }
 
 func (r *registrar) renew(ctx context.Context, lease platform.Lease) error {
@@ -157,5 +160,6 @@
 	}
 	r.addHosts(records...)
 	r.listed.Store(true)
+	r.currentListDue = false
 	return nil
 }
