Merge the identification of store states by epoch and revision

After a restore of the store from a copy, a version that got the revision of the one read before was taken for it, and lease IDs were renewed that belonged to other owners.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -18,6 +18,8 @@
 	"github.com/hashicorp/go-hclog"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"geraniumnotch.example/geraniumnotch/mesh"
+	"geraniumnotch.example/geraniumnotch/peers"
 	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/platform/standin"
 	"geraniumnotch.example/geraniumnotch/transport"
@@ -413,6 +415,117 @@
 	})
 }
 
+// Guards against a version that is taken for the one read before because a store that
+// was restored from a copy has given out its revision again.
+func TestPlanIsReadAfterARestoreGaveOutItsRevisionAgain(t *testing.T) {
+	for _, names := range [][]string{{"host-a"}, {"host-a", "host-b", "host-c"}} {
+		Convey(fmt.Sprintf("a newer version gets the revision of the one that was read before, %d hosts", len(names)), t, func() {
+			f := newFixture(t)
+			defer f.close()
+			f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
+			for _, name := range names {
+				f.addHost(name, "one")
+			}
+			allHave := func(version uint64) func() bool {
+				return func() bool {
+					for _, h := range f.hosts {
+						if h.node.planKeeper.activeVersion() != version || h.node.directory.HostCount() != len(f.hosts) {
+							return false
+						}
+					}
+					return true
+				}
+			}
+			waitFor(allHave(4))
+			saved := f.store.Copy()
+			f.store.Write(platform.ConfigKey, standin.Config(9, "one"))
+			waitFor(allHave(9))
+			revision := f.store.Revision(platform.ConfigKey)
+			f.store.Restore(saved, standin.Entry{Key: platform.ConfigKey, Value: standin.Config(12, "one")})
+			restored := time.Now()
+			So(f.store.Revision(platform.ConfigKey), ShouldEqual, revision)
+			waitFor(allHave(12))
+			So(time.Since(restored), ShouldBeLessThan, 2*time.Second)
+		})
+	}
+}
+
+// Guards against a host whose record is lost in a restore of the store while another
+// owner gets its lease ID, so that its renewals succeed without the record.
+func TestHostsRegisterAgainAfterARestoreGaveOutTheirLeaseIDsAgain(t *testing.T) {
+	Convey("the store is restored from a copy older than two records, without a failed call", t, func() {
+		f := newFixture(t)
+		defer f.close()
+		f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
+		recordCount := func() int { return len(f.store.Keys(hostsPrefix)) }
+		f.addHost("host-a", "one")
+		waitFor(func() bool { return recordCount() == 1 })
+		saved := f.store.Copy()
+		f.addHost("host-b", "one")
+		f.addHost("host-c", "one")
+		waitFor(func() bool {
+			for _, h := range f.hosts {
+				if h.node.directory.HostCount() != 3 || h.node.planKeeper.activeVersion() == 0 {
+					return false
+				}
+			}
+			return recordCount() == 3
+		})
+		client := platform.OpenStore(f.store.Address())
+		callsBefore := f.store.Calls("/")
+		f.store.Restore(saved)
+		restored := time.Now()
+		So(recordCount(), ShouldEqual, 1)
+		for range 4 {
+			_, _, err := client.Grant(context.Background(), time.Minute)
+			So(err, ShouldBeNil)
+		}
+		waitFor(func() bool { return recordCount() == 3 })
+		So(time.Since(restored), ShouldBeLessThan, 2*time.Second)
+		// Each host renews, gets a new lease, writes and lists once; the rest are the
+		// grants of the test and comparisons of the plan.
+		So(f.store.Calls("/")-callsBefore, ShouldBeLessThan, 4+3*4+3*3)
+	})
+}
+
+// Guards against a host that registers again while another one starts, and a stale list
+// that hides the other one: neither would find the other.
+func TestHostThatRegistersAgainFindsAHostThatHasJustStarted(t *testing.T) {
+	for _, name := range []string{"the store was restored", "the lease has expired"} {
+		Convey(name, t, func() {
+			store := standin.New()
+			defer store.Close()
+			found := map[mesh.HostID]bool{}
+			newRegistrar := func(host mesh.HostID, addHosts func(...peers.Record)) *registrar {
+				return &registrar{
+					store: platform.OpenStore(store.Address()), logger: hclog.NewNullLogger(),
+					record: peers.Record{Host: host, Address: string(host)}, addHosts: addHosts,
+				}
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			running := newRegistrar("running", func(records ...peers.Record) {
+				for _, r := range records {
+					found[r.Host] = true
+				}
+			})
+			var lease, newLease platform.Lease
+			So(running.update(ctx, &lease, 0), ShouldBeNil)
+			saved := store.Copy()
+			store.SetStale(saved)
+			if name == "the lease has expired" {
+				store.ExpireLeases()
+			} else {
+				store.Restore(saved)
+			}
+			started := newRegistrar("started", func(...peers.Record) {})
+			So(started.update(ctx, &newLease, 0), ShouldBeNil)
+			So(running.update(ctx, &lease, 1), ShouldBeNil)
+			So(found["started"], ShouldBeTrue)
+		})
+	}
+}
+
 // Guards against problems in settings that are reported one at a time, or not at
 // all.
 func TestSettings(t *testing.T) {
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -41,12 +41,13 @@
 	// after each read of the store that found a plan, whether new or unchanged.
 	onActivated func(*routeplan.Plan)
 	onConfirmed func()
-	// onStoreRecovered is called when the store answers this host or a peer again.
+	// onStoreRecovered is called when the store answers this host or a peer again, and
+	// when one of them finds it restored from a copy.
 	onStoreRecovered func()
 
 	mu sync.Mutex
-	// revision is the store's revision of the plan that was read last.
-	revision uint64
+	// lastRead identifies the state of the store's plan that was read last.
+	lastRead platform.Revision
 	// recent holds the latest active plans, as bases of deltas.
 	recent []*routeplan.Plan
 
@@ -150,8 +151,15 @@
 
 // run keeps the plan current until ctx ends.
 func (k *planKeeper) run(ctx context.Context) {
-	recoveries := uint64(0)
+	recoveries, epoch := uint64(0), uint64(0)
 	for sleep(ctx, planCheckInterval) {
+		k.tracker.RecordEpoch(k.store.Epoch())
+		if latest := k.tracker.Epoch(); latest != epoch {
+			if epoch != 0 {
+				eventStoreRestored.Log(k.logger, "epoch", latest, "before", epoch)
+			}
+			epoch = latest
+		}
 		if n := k.tracker.Recoveries(); n != recoveries {
 			recoveries = n
 			k.onStoreRecovered()
@@ -173,22 +181,26 @@
 	ctx, cancel := context.WithTimeout(ctx, planReadTimeout)
 	defer cancel()
 	began := boottime.Now()
-	item, changed, err := k.store.ReadIfChanged(ctx, platform.ConfigKey, k.revision)
+	item, changed, err := k.store.ReadIfChanged(ctx, platform.ConfigKey, k.lastRead)
 	k.monitor.observe(err)
-	switch {
-	case err != nil:
+	if err != nil {
 		k.tracker.RecordFailedRead(boottime.Now())
-	case changed && item.Revision != 0:
-		k.revision = item.Revision
+		return
+	}
+	k.lastRead = item.Revision
+	exists := item.Revision.Number != 0
+	if changed && exists {
 		k.activateItem(item)
-		k.tracker.RecordRead(began)
-		k.onConfirmed()
-	case k.revision == 0:
+	}
+	if !exists && k.activeVersion() == 0 {
 		k.tracker.RecordNoPlan(boottime.Now())
-	default:
-		k.tracker.RecordRead(began)
-		k.onConfirmed()
+		return
+	}
+	if !k.tracker.RecordRead(began, item.Revision.Epoch) {
+		k.tracker.RecordFailedRead(boottime.Now())
+		return
 	}
+	k.onConfirmed()
 }
 
 // sleep waits for d and reports false when ctx ended first.
