hostnode: handle stop and reload signals on channels of their own

Callers lost the requests of a node that had been told to stop and did not: it was killed after the grace period with requests in flight.

Cause: stop and reload signals shared a channel of four. Reload signals that arrived while the node started filled it, and the stop signal after them was dropped.

A pending reload covers all reload signals before it, so that a channel of one entry for each kind loses nothing.

--- a/hostnode/main.go
+++ b/hostnode/main.go
@@ -68,8 +68,7 @@
 func run(path, level string, stdout, stderr io.Writer) int {
 	// Signals are handled before anything else, because a reload signal without a
 	// handler ends the process.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	stop, reload := notifySignals()
 	lines := asynclog.New(stdout)
 	defer lines.Close()
 	logger := hclog.New(&hclog.LoggerOptions{
@@ -86,12 +85,28 @@
 		fmt.Fprintln(stderr, err)
 		return ExitFailed
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
-		n.Reload()
-	}
+	awaitStop(stop, reload, n.Reload)
 	n.Stop()
 	return ExitOK
 }
+
+// notifySignals returns the channels of stop and reload signals. They are separate,
+// because a signal that finds its channel full is dropped.
+func notifySignals() (stop, reload chan os.Signal) {
+	stop, reload = make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reload, syscall.SIGHUP)
+	return stop, reload
+}
+
+// awaitStop reloads the settings on each reload signal until a stop signal arrives.
+func awaitStop(stop, reload <-chan os.Signal, onReload func()) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-reload:
+			onReload()
+		}
+	}
+}
