hostnode: close the listener before the last connections of a stopping node

A stopping node ran to its limit of 5.7 s while clients went on connecting, and connections were cut there. A request on a connection that was accepted at the last moment was read, sent to the endpoint and lost.

Cause: the node ended only when no connection was open, and each response keeps its connection open for up to 500 ms until the client has closed it. The last check also missed a connection between Accept and its registration.

The listener closes as soon as no request is in flight, the accepting goroutine ends, calls of peers are rejected from then on, and the node waits only for the connections that are left.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -1,6 +1,7 @@
 package hostnode
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -178,8 +179,9 @@
 	return post("http://"+h.address["announcements"]+path, "garbage")
 }
 
-// get sends a call to the host's ingress.
-func (h *fixtureHost) get(id, path string) (int, string) {
+// request returns a request to the host's ingress that is the last one of its
+// connection.
+func (h *fixtureHost) request(id, path string) *http.Request {
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+h.address["calls"]+path, nil)
 	if err != nil {
 		panic(err)
@@ -188,7 +190,12 @@
 	platform.Headers{}.SetRequestID(request.Header, id)
 	// No connection may stay open when the test stops the node.
 	request.Close = true
-	response, err := http.DefaultClient.Do(request)
+	return request
+}
+
+// get sends a call to the host's ingress.
+func (h *fixtureHost) get(id, path string) (int, string) {
+	response, err := http.DefaultClient.Do(h.request(id, path))
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -562,3 +569,44 @@
 		}
 	})
 }
+
+// Guards against a stop that waits for clients which go on connecting, and against a
+// request that is read on a connection accepted when the node ends.
+func TestStopWhileClientsGoOnConnecting(t *testing.T) {
+	Convey("clients connect, call and leave the connection open until the host refuses it", t, func() {
+		f := newFixture(t)
+		defer f.close()
+		f.store.Write(platform.ConfigKey, standin.Config(1, "one"))
+		a := f.addHost("host-a", "one")
+		waitFor(func() bool { return a.announce("one", "ready") == http.StatusOK })
+		waitFor(func() bool { status, _ := a.get("first", "/one/x"); return status == http.StatusOK })
+		unanswered := make(chan []string)
+		go func() {
+			var ids []string
+			for i := 0; ; i++ {
+				time.Sleep(50 * time.Millisecond)
+				c, err := net.Dial("tcp", a.address["calls"])
+				if err != nil {
+					unanswered <- ids
+					return
+				}
+				defer func() { _ = c.Close() }()
+				id := fmt.Sprint("c", i)
+				_ = a.request(id, "/one/x").Write(c) // The next read returns the error.
+				if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+					ids = append(ids, id)
+				}
+			}
+		}()
+		started := time.Now()
+		a.node.Stop()
+		So(time.Since(started), ShouldBeLessThan, 5*time.Second)
+		So(a.node.ingress.Active(), ShouldEqual, 0)
+		ids := <-unanswered
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for _, id := range ids {
+			So(a.executions[id], ShouldEqual, 0)
+		}
+	})
+}
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -72,10 +72,12 @@
 	hostsListedAt atomic.Int64
 	reloadMu      sync.Mutex
 	listeners     []net.Listener
-	// calls is the listener for clients and the endpoint of the host.
-	calls   net.Listener
-	servers []*http.Server
-	cancel  context.CancelFunc
+	// calls is the listener for clients and the endpoint of the host. callsEnded is
+	// closed when no further connection of it is accepted.
+	calls      net.Listener
+	callsEnded chan struct{}
+	servers    []*http.Server
+	cancel     context.CancelFunc
 }
 
 // New assembles a node with the settings of the file at path. It starts nothing.
@@ -187,7 +189,11 @@
 		go func() { _ = server.Serve(l) }() // Ends when the listener is closed.
 	}
 	n.calls = calls
-	go func() { _ = n.ingress.Serve(calls) }() // Ends when the listener is closed.
+	n.callsEnded = make(chan struct{})
+	go func() {
+		defer close(n.callsEnded)
+		_ = n.ingress.Serve(calls) // Ends when the listener is closed.
+	}()
 	go n.planKeeper.run(ctx)
 	go n.registrar.run(ctx)
 	go n.directory.Run(ctx)
@@ -274,19 +280,20 @@
 	n.closeListeners()
 }
 
-// closeIfDrained closes the listener for calls and reports true if no call is in flight.
+// closeIfDrained closes the listener for calls if no call is in flight. It reports true
+// when the last connection of a client has ended after that.
 func (n *Node) closeIfDrained() bool {
-	if !n.isDrained() {
+	if n.ingress.CloseIdle() != 0 || n.endpointCalls() != 0 {
 		return false
 	}
-	// A request may arrive on a new connection until the listener is closed.
 	_ = n.calls.Close() // It may be closed already.
-	return n.isDrained()
+	// A connection that was accepted before may have a request, and a peer that has no
+	// report of the drain yet may send a call.
+	<-n.callsEnded
+	n.registration.RejectWaiting()
+	return n.ingress.Connections() == 0 && n.endpointCalls() == 0
 }
 
-// isDrained closes idle connections and reports whether no call is in flight.
-func (n *Node) isDrained() bool { return n.ingress.CloseIdle() == 0 && n.endpointCalls() == 0 }
-
 // abortCalls ends the calls in flight. Those of peers that wait for the endpoint may
 // still be executed at another host.
 func (n *Node) abortCalls() {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -166,14 +166,24 @@
 func (s *Server) Active() int { return int(s.active.Load()) }
 
 // CloseIdle closes the connections without a request. It returns the number of
-// connections that are still open: a request is being read, has no response yet, or
-// the client has not closed its end after the last response.
+// connections with a request, which is being read or has no response yet.
 func (s *Server) CloseIdle() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	busy := 0
 	for c := range s.conns {
-		c.closeIfIdle()
+		if !c.closeIfIdle() {
+			busy++
+		}
 	}
+	return busy
+}
+
+// Connections returns the number of open connections, including those on which only
+// the client's close is awaited.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return len(s.conns)
 }
 
@@ -351,13 +361,15 @@
 	c.state = stateClosed
 }
 
-// closeIfIdle closes the connection if it has no request.
-func (c *connection) closeIfIdle() {
+// closeIfIdle closes the connection if it has no request, and reports whether it has
+// none.
+func (c *connection) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pending == 0 && c.state == stateIdle {
 		c.stopReadingLocked()
 	}
+	return c.pending == 0 && c.state == stateClosed
 }
 
 // pendingCount returns the number of requests without a complete response.
