soak: connect through the fault proxy outside the accept loop

Cause: the proxy dialled the target in its accept loop, so that one connection that was slow to open delayed all later ones, and a fault of one connection looked like a fault of the link. Change: a goroutine for each connection. A connection that opens after the proxy has been closed is closed too.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -31,6 +31,7 @@
 	modes   [2]linkMode
 	changed chan struct{}
 	conns   map[net.Conn]bool
+	closed  bool
 }
 
 func newProxy(address, target string) *proxy {
@@ -49,17 +50,27 @@
 		if err != nil {
 			return
 		}
-		out, err := net.Dial("tcp", p.target)
-		if err != nil {
-			_ = in.Close() // The client sees a closed connection.
-			continue
-		}
-		p.mu.Lock()
-		p.conns[in], p.conns[out] = true, true
-		p.mu.Unlock()
-		go p.copy(out, in, 0)
-		go p.copy(in, out, 1)
+		// A connection to the target that is slow to open must not delay the others.
+		go p.connect(in)
+	}
+}
+
+// connect opens the connection to the target and forwards the bytes.
+func (p *proxy) connect(in net.Conn) {
+	out, err := net.Dial("tcp", p.target)
+	if err != nil {
+		_ = in.Close() // The client sees a closed connection.
+		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		_, _ = in.Close(), out.Close() // The proxy has ended.
+		return
+	}
+	p.conns[in], p.conns[out] = true, true
+	go p.copy(out, in, 0)
+	go p.copy(in, out, 1)
 }
 
 func (p *proxy) copy(to, from net.Conn, direction int) {
@@ -117,6 +128,9 @@
 
 func (p *proxy) close() {
 	_ = p.listener.Close() // Makes serve return.
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
 	p.setModes(pass, pass)
 	p.reset()
 }
