soak: let overlapping faults of a link or the store end separately

Cause: the end of a fault set the link or the store to no fault, and ended those that had begun later. The end of dropped responses did the same. Change: proxies and the store keep a list of active faults. A direction is held while one fault holds it, else delayed; the store injects the latest. endFaults is gone, because injectFaults waits until all have ended.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -51,22 +51,26 @@
 	version          int
 	writtenAt        time.Time
 	storeFaultyUntil time.Time
-	executions       map[string]int
-	failures         []string
-	calls            []callRecord
+	// storeFaults are the faults of the store since the start; those that have ended
+	// are NoFault.
+	storeFaults []standin.Fault
+	executions  map[string]int
+	failures    []string
+	calls       []callRecord
 }
 
 // host is a process of the program under test with its endpoint, and the proxies that
 // inject faults into its links and store connections.
 type host struct {
-	cluster        *cluster
-	name           string
-	service        string
-	addresses      map[string]string
-	peerProxy      *proxy
-	storeProxy     *proxy
-	endpoint       *http.Server
-	dropsResponses atomic.Bool
+	cluster    *cluster
+	name       string
+	service    string
+	addresses  map[string]string
+	peerProxy  *proxy
+	storeProxy *proxy
+	endpoint   *http.Server
+	// dropFaults counts the active faults in which the endpoint drops responses.
+	dropFaults atomic.Int32
 	// processMu serializes starting, stopping and signalling the process.
 	// stopExpected is set while the test ends the process.
 	processMu    sync.Mutex
@@ -85,6 +89,7 @@
 
 func newCluster(dir string, random *rand.Rand) *cluster {
 	c := &cluster{dir: dir, random: random, store: standin.New(), done: make(chan struct{}), executions: map[string]int{}}
+	c.store.SetFault(func(string) standin.Fault { return c.storeFault() })
 	c.writeVersion()
 	for i := range 4 {
 		h := &host{cluster: c, name: fmt.Sprintf("host-%c", 'a'+i), service: services[i%2], addresses: map[string]string{}}
@@ -159,7 +164,7 @@
 	h.cluster.executions[id]++
 	h.cluster.mu.Unlock()
 	time.Sleep(time.Duration(10+rand.IntN(60)) * time.Millisecond)
-	if h.dropsResponses.Load() && rand.IntN(3) == 0 {
+	if h.dropFaults.Load() > 0 && rand.IntN(3) == 0 {
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = fmt.Fprintf(rw, "%s %s %d", id, h.service, len(body)) // checkCalls reports a truncated response.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -54,9 +55,9 @@
 	case 8:
 		c.injectStoreFault([]standin.Fault{standin.Unavailable, standin.RateLimited, standin.ConnectionReset, standin.ResponseLost, standin.ResponseTruncated, standin.Unavailable}[variant], duration)
 	case 9:
-		h.dropsResponses.Store(true)
+		h.dropFaults.Add(1)
 		time.Sleep(duration)
-		h.dropsResponses.Store(false)
+		h.dropFaults.Add(-1)
 	default:
 		c.writeVersion()
 	}
@@ -102,23 +103,46 @@
 
 func (c *cluster) disturbLink(h *host, p *proxy, modes [2]linkMode, duration time.Duration) {
 	defer h.beginFault(&h.otherFaults)()
-	p.setModes(modes[0], modes[1])
+	defer p.beginFault(modes)()
 	time.Sleep(duration)
-	p.setModes(pass, pass)
 }
 
 // injectStoreFault makes all calls to the store fail in the same way for the
-// duration. If the store was unavailable, all leases end with the fault.
+// duration. Of several active faults the latest applies. If the store was unavailable,
+// all leases end with the fault.
 func (c *cluster) injectStoreFault(fault standin.Fault, duration time.Duration) {
 	c.mu.Lock()
-	c.storeFaultyUntil = time.Now().Add(duration)
+	c.storeFaultyUntil = later(c.storeFaultyUntil, time.Now().Add(duration))
+	id := len(c.storeFaults)
+	c.storeFaults = append(c.storeFaults, fault)
 	c.mu.Unlock()
-	c.store.SetFault(func(string) standin.Fault { return fault })
 	time.Sleep(duration)
 	if fault == standin.Unavailable {
 		c.store.ExpireLeases()
 	}
-	c.store.SetFault(nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeFaults[id] = standin.NoFault
+	c.storeFaultyUntil = later(c.storeFaultyUntil, time.Now())
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// storeFault returns the fault of the store that applies now.
+func (c *cluster) storeFault() standin.Fault {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, fault := range slices.Backward(c.storeFaults) {
+		if fault != standin.NoFault {
+			return fault
+		}
+	}
+	return standin.NoFault
 }
 
 // awaitListening waits until the process listens. Until then it may not handle
@@ -131,13 +155,3 @@
 		}
 	}
 }
-
-// endFaults ends the faults of the store, the links and the endpoints.
-func (c *cluster) endFaults() {
-	c.store.SetFault(nil)
-	for _, h := range c.hosts {
-		h.peerProxy.setModes(pass, pass)
-		h.storeProxy.setModes(pass, pass)
-		h.dropsResponses.Store(false)
-	}
-}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -26,9 +26,10 @@
 	target   string
 
 	mu sync.Mutex
-	// modes are those of the directions to the target and back. changed is closed
-	// and replaced when they change.
-	modes   [2]linkMode
+	// faults are the modes of the active faults, those of the directions to the target
+	// and back, by the ID of the fault. changed is closed and replaced when they change.
+	faults  map[int][2]linkMode
+	lastID  int
 	changed chan struct{}
 	conns   map[net.Conn]bool
 	closed  bool
@@ -39,7 +40,7 @@
 	if err != nil {
 		panic(err)
 	}
-	p := &proxy{listener: listener, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &proxy{listener: listener, target: target, faults: map[int][2]linkMode{}, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
 	go p.serve()
 	return p
 }
@@ -80,7 +81,7 @@
 		n, err := from.Read(buffer)
 		for {
 			p.mu.Lock()
-			mode, changed := p.modes[direction], p.changed
+			mode, changed := p.mode(direction), p.changed
 			p.mu.Unlock()
 			if mode == delay {
 				time.Sleep(proxyDelay)
@@ -105,11 +106,40 @@
 	}
 }
 
-// setModes sets the modes of both directions.
-func (p *proxy) setModes(toTarget, fromTarget linkMode) {
+// mode returns the mode of a direction. If several faults are active, a direction that
+// one of them holds is held, and one that none holds but one delays is delayed. The
+// caller holds mu.
+func (p *proxy) mode(direction int) linkMode {
+	mode := pass
+	for _, modes := range p.faults {
+		switch {
+		case modes[direction] == hold:
+			return hold
+		case modes[direction] == delay:
+			mode = delay
+		}
+	}
+	return mode
+}
+
+// beginFault applies the modes until the returned function is called.
+func (p *proxy) beginFault(modes [2]linkMode) (end func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.modes = [2]linkMode{toTarget, fromTarget}
+	p.lastID++
+	id := p.lastID
+	p.faults[id] = modes
+	p.announceChange()
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.faults, id)
+		p.announceChange()
+	}
+}
+
+// announceChange wakes the directions that are held. The caller holds mu.
+func (p *proxy) announceChange() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
@@ -130,7 +160,8 @@
 	_ = p.listener.Close() // Makes serve return.
 	p.mu.Lock()
 	p.closed = true
+	clear(p.faults)
+	p.announceChange()
 	p.mu.Unlock()
-	p.setModes(pass, pass)
 	p.reset()
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -90,7 +90,6 @@
 	}
 	stopClients := c.startClients()
 	c.injectFaults(faultPeriod)
-	c.endFaults()
 	if !c.awaitServing() {
 		c.fail("recovery: not all hosts serve both services within %v of the last fault", recoveryTimeout)
 	}
