soak: record executions with their end, and check answers that a node replaces

Cause: dropped responses were not counted as a fault, and an execution was only a count. A node's own 502 in place of a response that an endpoint had sent could not be told from one after a dropped response, so neither was checked. Change: each execution has its host, its begin and its end; a dropped response has no end. Faults of a host are kept as intervals, so that hosts on the way can be checked afterwards. A status of 5xx fails if an endpoint had responded in time and neither host had a fault but planned stops.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -54,11 +55,19 @@
 	// storeFaults are the faults of the store since the start; those that have ended
 	// are NoFault.
 	storeFaults []standin.Fault
-	executions  map[string]int
+	executions  map[string][]*execution
 	failures    []string
 	calls       []callRecord
 }
 
+// execution is the execution of a call by an endpoint.
+type execution struct {
+	host  *host
+	begin time.Time
+	// end is zero while the call is executed, and if its response was dropped.
+	end time.Time
+}
+
 // host is a process of the program under test with its endpoint, and the proxies that
 // inject faults into its links and store connections.
 type host struct {
@@ -80,15 +89,14 @@
 	exited       chan struct{}
 
 	mu sync.Mutex
-	// plannedStops counts stops by SIGTERM, otherFaults all other faults that
-	// affect the host.
-	plannedStops, otherFaults faultCount
+	// faults are the faults that have affected the host.
+	faults []*faultInterval
 	// newestVersion is the highest plan version that the process has served.
 	newestVersion int
 }
 
 func newCluster(dir string, random *rand.Rand) *cluster {
-	c := &cluster{dir: dir, random: random, store: standin.New(), done: make(chan struct{}), executions: map[string]int{}}
+	c := &cluster{dir: dir, random: random, store: standin.New(), done: make(chan struct{}), executions: map[string][]*execution{}}
 	c.store.SetFault(func(string) standin.Fault { return c.storeFault() })
 	c.writeVersion()
 	for i := range 4 {
@@ -160,14 +168,18 @@
 	if err != nil {
 		return // A call whose body is truncated is not executed.
 	}
+	e := &execution{host: h, begin: time.Now()}
 	h.cluster.mu.Lock()
-	h.cluster.executions[id]++
+	h.cluster.executions[id] = append(h.cluster.executions[id], e)
 	h.cluster.mu.Unlock()
 	time.Sleep(time.Duration(10+rand.IntN(60)) * time.Millisecond)
 	if h.dropFaults.Load() > 0 && rand.IntN(3) == 0 {
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = fmt.Fprintf(rw, "%s %s %d", id, h.service, len(body)) // checkCalls reports a truncated response.
+	h.cluster.mu.Lock()
+	defer h.cluster.mu.Unlock()
+	e.end = time.Now()
 }
 
 const settingsFormat = `[host]
@@ -256,30 +268,34 @@
 	}
 }
 
-// faultCount counts the active faults and records when the count last changed.
-type faultCount struct {
-	active     int
-	lastChange time.Time
+// faultInterval is the time during which a fault affected a host.
+type faultInterval struct {
+	// planned is set for a stop by SIGTERM.
+	planned bool
+	begin   time.Time
+	// end is zero while the fault is active.
+	end time.Time
 }
 
-func (h *host) addToFaultCount(count *faultCount, delta int) {
+// beginFault records a fault as active until the returned function is called.
+func (h *host) beginFault(planned bool) (end func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	count.active += delta
-	count.lastChange = time.Now()
-}
-
-// beginFault counts a fault as active until the returned function is called.
-func (h *host) beginFault(count *faultCount) (end func()) {
-	h.addToFaultCount(count, 1)
-	return func() { h.addToFaultCount(count, -1) }
+	fault := &faultInterval{planned: planned, begin: time.Now()}
+	h.faults = append(h.faults, fault)
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		fault.end = time.Now()
+	}
 }
 
-// hadNoFaultSince reports whether no fault has affected the host since t. Planned
+// hadNoFault reports whether no fault affected the host between two times. Planned
 // stops count as faults only if includePlannedStops is set.
-func (h *host) hadNoFaultSince(t time.Time, includePlannedStops bool) bool {
+func (h *host) hadNoFault(from, to time.Time, includePlannedStops bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	hadNone := func(count faultCount) bool { return count.active == 0 && count.lastChange.Before(t) }
-	return hadNone(h.otherFaults) && (hadNone(h.plannedStops) || !includePlannedStops)
+	return !slices.ContainsFunc(h.faults, func(f *faultInterval) bool {
+		return (!f.planned || includePlannedStops) && !f.begin.After(to) && (f.end.IsZero() || !f.end.Before(from))
+	})
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -50,7 +50,7 @@
 	case 6:
 		c.disturbLink(h, h.storeProxy, linkFaults[variant], duration)
 	case 7:
-		h.beginFault(&h.otherFaults)()
+		h.beginFault(false)()
 		[]*proxy{h.peerProxy, h.storeProxy}[variant%2].reset()
 	case 8:
 		c.injectStoreFault([]standin.Fault{standin.Unavailable, standin.RateLimited, standin.ConnectionReset, standin.ResponseLost, standin.ResponseTruncated, standin.Unavailable}[variant], duration)
@@ -69,11 +69,7 @@
 	h.processMu.Lock()
 	defer h.processMu.Unlock()
 	planned := s == syscall.SIGTERM
-	if planned {
-		defer h.beginFault(&h.plannedStops)()
-	} else {
-		defer h.beginFault(&h.otherFaults)()
-	}
+	defer h.beginFault(planned)()
 	h.awaitListening()
 	signalledAt := time.Now()
 	h.stopExpected.Store(true)
@@ -95,14 +91,14 @@
 func (c *cluster) pauseProcess(h *host, duration time.Duration) {
 	h.processMu.Lock()
 	defer h.processMu.Unlock()
-	defer h.beginFault(&h.otherFaults)()
+	defer h.beginFault(false)()
 	h.signal(syscall.SIGSTOP)
 	time.Sleep(duration)
 	h.signal(syscall.SIGCONT)
 }
 
 func (c *cluster) disturbLink(h *host, p *proxy, modes [2]linkMode, duration time.Duration) {
-	defer h.beginFault(&h.otherFaults)()
+	defer h.beginFault(false)()
 	defer p.beginFault(modes)()
 	time.Sleep(duration)
 }
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,11 @@
 	// arrive.
 	deadlineTolerance = 500 * time.Millisecond
 	longBodyBytes     = 50_000
+	// routeTimeout is the timeout of the routes of the stand-in.
+	routeTimeout = 2 * time.Second
+	// responseTransfer is the time that a response may take from the endpoint to the
+	// client on a busy machine.
+	responseTransfer = 500 * time.Millisecond
 )
 
 // callRecord is a call and its result as the client observed it.
@@ -34,9 +40,21 @@
 	body       string
 	wantBody   string
 	err        error
-	// hadNoFault is set when no fault except planned stops affected the host from
-	// faultFreePeriod before the call until its end.
-	hadNoFault bool
+}
+
+// hadNoFault reports whether no fault except planned stops affected the client's host
+// from faultFreePeriod before the call until its end.
+func (r callRecord) hadNoFault() bool {
+	return r.host.hadNoFault(r.sentAt.Add(-faultFreePeriod), r.sentAt.Add(r.latency), false)
+}
+
+// wasAnswered reports whether an endpoint has responded to the call in time for its
+// response to reach the client, over links without faults.
+func (r callRecord) wasAnswered(executions []*execution) bool {
+	return slices.ContainsFunc(executions, func(e *execution) bool {
+		return !e.end.IsZero() && e.end.Before(r.sentAt.Add(routeTimeout-responseTransfer)) &&
+			e.host.hadNoFault(r.sentAt.Add(-faultFreePeriod), e.end.Add(responseTransfer), false)
+	})
 }
 
 var lastCallID atomic.Uint64
@@ -65,7 +83,6 @@
 		record.status, record.body = response.StatusCode, string(body)
 	}
 	record.err, record.latency = err, time.Since(record.sentAt)
-	record.hadNoFault = h.hadNoFaultSince(record.sentAt.Add(-faultFreePeriod), false)
 	return record
 }
 
@@ -162,7 +179,7 @@
 		}
 		h.mu.Unlock()
 		currentVersion, _, _ := c.newestVersion()
-		noFaults := h.hadNoFaultSince(writtenAt.Add(-faultFreePeriod), true) && storeFaultyUntil.Before(writtenAt.Add(-faultFreePeriod))
+		noFaults := h.hadNoFault(writtenAt.Add(-faultFreePeriod), time.Now(), true) && storeFaultyUntil.Before(writtenAt.Add(-faultFreePeriod))
 		switch {
 		case sameProcess && v < newestVersion:
 			c.fail("%s served the route of version %d after that of version %d", h.name, v, newestVersion)
@@ -182,7 +199,7 @@
 	c.mu.Unlock()
 	served, answered := 0, 0
 	for _, call := range calls {
-		executed := executions[call.id]
+		executed := len(executions[call.id])
 		isProbe := strings.HasPrefix(call.path, "v")
 		if call.err == nil && !isProbe {
 			answered++
@@ -196,12 +213,14 @@
 			c.fail("%s %s got the wrong response %q", call.path, call.id, call.body)
 		case call.err == nil && call.status == http.StatusOK && !isProbe:
 			served++
+		case call.err == nil && call.status >= 500 && call.hadNoFault() && call.wasAnswered(executions[call.id]):
+			c.fail("%s %s got status %d at %s though an endpoint had responded", call.path, call.id, call.status, call.host.name)
 		case call.err == nil && call.status >= 400 && call.status < 500 && !isProbe:
 			c.fail("%s %s got status %d at %s", call.path, call.id, call.status, call.host.name)
-		case call.err != nil && executed > 0 && call.hadNoFault:
+		case call.err != nil && executed > 0 && call.hadNoFault():
 			c.fail("%s %s at %s was executed and its response lost: %v", call.path, call.id, call.host.name, call.err)
 		}
-		if call.latency > clientDeadline+deadlineTolerance && call.hadNoFault {
+		if call.latency > clientDeadline+deadlineTolerance && call.hadNoFault() {
 			c.fail("%s %s at %s took %v", call.path, call.id, call.host.name, call.latency)
 		}
 	}
