soak: a mutex of its own for the faults of the store

Cause: the store asks for its fault while it holds its mutex, and writeVersion writes to the store while it holds that of the cluster.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -48,16 +48,20 @@
 	hosts  []*host
 	done   chan struct{}
 
+	// storeMu is taken by the store while it holds its own mutex. mu is held while the
+	// store is called.
+	storeMu sync.Mutex
+	// storeFaults are the faults of the store since the start; those that have ended
+	// are NoFault.
+	storeFaults []standin.Fault
+
 	mu               sync.Mutex
 	version          int
 	writtenAt        time.Time
 	storeFaultyUntil time.Time
-	// storeFaults are the faults of the store since the start; those that have ended
-	// are NoFault.
-	storeFaults []standin.Fault
-	executions  map[string][]*execution
-	failures    []string
-	calls       []callRecord
+	executions       map[string][]*execution
+	failures         []string
+	calls            []callRecord
 }
 
 // execution is the execution of a call by an endpoint.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -109,16 +109,20 @@
 func (c *cluster) injectStoreFault(fault standin.Fault, duration time.Duration) {
 	c.mu.Lock()
 	c.storeFaultyUntil = later(c.storeFaultyUntil, time.Now().Add(duration))
+	c.mu.Unlock()
+	c.storeMu.Lock()
 	id := len(c.storeFaults)
 	c.storeFaults = append(c.storeFaults, fault)
-	c.mu.Unlock()
+	c.storeMu.Unlock()
 	time.Sleep(duration)
 	if fault == standin.Unavailable {
 		c.store.ExpireLeases()
 	}
+	c.storeMu.Lock()
+	c.storeFaults[id] = standin.NoFault
+	c.storeMu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.storeFaults[id] = standin.NoFault
 	c.storeFaultyUntil = later(c.storeFaultyUntil, time.Now())
 }
 
@@ -131,8 +135,8 @@
 
 // storeFault returns the fault of the store that applies now.
 func (c *cluster) storeFault() standin.Fault {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.storeMu.Lock()
+	defer c.storeMu.Unlock()
 	for _, fault := range slices.Backward(c.storeFaults) {
 		if fault != standin.NoFault {
 			return fault
