soak: pipelining clients, kept connections and planned work in series

Requests that a stopping node had passed on ended without an answer, and the soak did not see it.

Cause: its clients sent one request at a time, and they were http.Clients. These send an idempotent request again on a new connection, unnoticed, when the first one ends. Stops were single events among other faults.

Change: clients on raw connections that send each request once and keep a connection until the process is gone or a response says Connection: close. One client of each host has two to eight requests in flight; some take their endpoint up to 1.5 s or have up to 60 kB of response. Order, IDs and bytes behind the last response are checked. A connection that ends more than 0.2 s after its only request without an answer is a failure. Planned work comes in series that overlap: alone for 3 s, then beside the other faults, whose plan for a seed is as before. -soak.hosts sets the number of hosts. Faults of the store may change its contents when they begin and end. Failures name the time of the call; a summary shows coverage and delays of the test process.

--- a/Makefile
+++ b/Makefile
@@ -47,11 +47,12 @@
 .PHONY: soak
 
 # soak runs the soak test under faults with the seeds FIRST to FIRST+SEEDS-1, about
-# 20 s each.
+# 30 s each, on HOSTS hosts.
 FIRST ?= 1
 SEEDS ?= 50
+HOSTS ?= 4
 soak:
-	$(GO) test ./soak -count=1 -v -timeout 3h -soak.first=$(FIRST) -soak.seeds=$(SEEDS)
+	$(GO) test ./soak -count=1 -v -timeout 3h -soak.first=$(FIRST) -soak.seeds=$(SEEDS) -soak.hosts=$(HOSTS)
 
 .PHONY: docs
 
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -39,14 +40,16 @@
 
 var services = []string{"one", "two"}
 
-// cluster is four hosts with their endpoints and a stand-in of the store. Both
-// services have endpoints on two hosts.
+// cluster is several hosts with their endpoints and a stand-in of the store. Each
+// service has endpoints on half of the hosts.
 type cluster struct {
 	dir    string
 	random *rand.Rand
 	store  *standin.Store
 	hosts  []*host
 	done   chan struct{}
+	// storeFaultsDrawn counts the faults of the store that the plan has.
+	storeFaultsDrawn atomic.Int32
 
 	// storeMu is taken by the store while it holds its own mutex. mu is held while the
 	// store is called.
@@ -61,7 +64,9 @@
 	storeFaultyUntil time.Time
 	executions       map[string][]*execution
 	failures         []string
-	calls            []callRecord
+	// stalls are the times in which the test process itself was delayed.
+	stalls []string
+	calls  []callRecord
 }
 
 // execution is the execution of a call by an endpoint.
@@ -99,11 +104,11 @@
 	newestVersion int
 }
 
-func newCluster(dir string, random *rand.Rand) *cluster {
+func newCluster(dir string, random *rand.Rand, hosts int) *cluster {
 	c := &cluster{dir: dir, random: random, store: standin.New(), done: make(chan struct{}), executions: map[string][]*execution{}}
-	c.store.SetFault(func(string) standin.Fault { return c.storeFault() })
+	c.store.SetFault(func(string) standin.Fault { return c.activeStoreFault() })
 	c.writeVersion()
-	for i := range 4 {
+	for i := range hosts {
 		h := &host{cluster: c, name: fmt.Sprintf("host-%c", 'a'+i), service: services[i%2], addresses: map[string]string{}}
 		pid := os.Getpid()
 		for offset, name := range []string{"endpoint", "calls", "peers", "ready", "announcements", "metrics", "advertised", "store"} {
@@ -143,6 +148,29 @@
 	return c.failures
 }
 
+const (
+	stallInterval = 50 * time.Millisecond
+	minStall      = 200 * time.Millisecond
+)
+
+// recordStalls records when a timer of the test process fires late. Failures at these
+// times may be those of a busy machine.
+func (c *cluster) recordStalls() {
+	for {
+		started := time.Now()
+		select {
+		case <-c.done:
+			return
+		case <-time.After(stallInterval):
+		}
+		if delay := time.Since(started) - stallInterval; delay > minStall {
+			c.mu.Lock()
+			c.stalls = append(c.stalls, fmt.Sprintf("%s for %v", started.UTC().Format("15:04:05.000"), delay.Round(time.Millisecond)))
+			c.mu.Unlock()
+		}
+	}
+}
+
 // writeVersion writes the next version of the configuration to the store. Its
 // route versionPath exists in this version only.
 func (c *cluster) writeVersion() {
@@ -165,8 +193,10 @@
 	return c.version, c.writtenAt, c.storeFaultyUntil
 }
 
-// serveCall is the handler of the endpoint. It counts the executions of each call and
-// responds with the call's ID, the service and the size of the request body.
+// serveCall is the handler of the endpoint. It records the executions of each call and
+// responds with the call's ID, the service and the size of the request body. A path
+// such as /one/300/20000 sets the service time in milliseconds and the number of bytes
+// that are added to the response.
 func (h *host) serveCall(rw http.ResponseWriter, r *http.Request, id, _ string) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -176,11 +206,19 @@
 	h.cluster.mu.Lock()
 	h.cluster.executions[id] = append(h.cluster.executions[id], e)
 	h.cluster.mu.Unlock()
-	time.Sleep(time.Duration(10+rand.IntN(60)) * time.Millisecond)
+	serviceTime, bytes := 10+rand.IntN(60), 0
+	_, _ = fmt.Sscanf(r.URL.Path, "/"+h.service+"/%d/%d", &serviceTime, &bytes) // Other calls keep the defaults.
+	time.Sleep(time.Duration(serviceTime) * time.Millisecond)
 	if h.dropFaults.Load() > 0 && rand.IntN(3) == 0 {
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = fmt.Fprintf(rw, "%s %s %d", id, h.service, len(body)) // checkCalls reports a truncated response.
+	response := fmt.Sprintf("%s %s %d%s", id, h.service, len(body), strings.Repeat(".", bytes))
+	if bytes%2 == 0 {
+		rw.Header().Set("Content-Length", strconv.Itoa(len(response))) // Others are sent in chunks if they are long.
+	}
+	if _, err := io.WriteString(rw, response); err != nil {
+		return // The host has closed the connection.
+	}
 	h.cluster.mu.Lock()
 	defer h.cluster.mu.Unlock()
 	e.end = time.Now()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -28,7 +28,7 @@
 			defer running.Done()
 			c.injectFault(kind, variant, h, duration)
 		}()
-		time.Sleep(time.Duration(100+c.random.IntN(700)) * time.Millisecond)
+		c.sleep(time.Duration(100+c.random.IntN(700)) * time.Millisecond)
 	}
 }
 
@@ -41,10 +41,7 @@
 	case 3:
 		c.pauseProcess(h, duration)
 	case 4:
-		h.processMu.Lock()
-		defer h.processMu.Unlock()
-		h.awaitListening()
-		h.signal(syscall.SIGHUP)
+		h.reload()
 	case 5:
 		c.disturbLink(h, h.peerProxy, linkFaults[variant], duration)
 	case 6:
@@ -53,7 +50,10 @@
 		h.beginFault(false)()
 		[]*proxy{h.peerProxy, h.storeProxy}[variant%2].reset()
 	case 8:
-		c.injectStoreFault([]standin.Fault{standin.Unavailable, standin.RateLimited, standin.ConnectionReset, standin.ResponseLost, standin.ResponseTruncated, standin.Unavailable}[variant], duration)
+		if !c.isStoreFaultDue() {
+			return
+		}
+		c.injectStoreFault(storeFaults[variant], duration)
 	case 9:
 		h.dropFaults.Add(1)
 		time.Sleep(duration)
@@ -63,9 +63,24 @@
 	}
 }
 
+// reload makes the process read its settings again.
+func (h *host) reload() {
+	h.processMu.Lock()
+	defer h.processMu.Unlock()
+	h.awaitListening()
+	h.signal(syscall.SIGHUP)
+}
+
+// signalAfter is a signal that is sent during a planned stop, after a delay.
+type signalAfter struct {
+	signal syscall.Signal
+	delay  time.Duration
+}
+
 // restart ends the process with a signal and starts it again after the downtime.
-// SIGTERM is a planned stop: the process must end with status 0.
-func (c *cluster) restart(h *host, s syscall.Signal, downtime time.Duration) {
+// SIGTERM is a planned stop: the process must end with status 0, also if further signals
+// are sent during the stop.
+func (c *cluster) restart(h *host, s syscall.Signal, downtime time.Duration, during ...signalAfter) {
 	h.processMu.Lock()
 	defer h.processMu.Unlock()
 	planned := s == syscall.SIGTERM
@@ -74,9 +89,17 @@
 	signalledAt := time.Now()
 	h.stopExpected.Store(true)
 	h.signal(s)
+	stopTimer := time.After(stopTimeout)
+	for _, further := range during {
+		select {
+		case <-h.exited:
+		case <-time.After(further.delay):
+			h.signal(further.signal)
+		}
+	}
 	select {
 	case <-h.exited:
-	case <-time.After(stopTimeout):
+	case <-stopTimer:
 		c.fail("%s did not exit within %v of a stop signal", h.name, stopTimeout)
 		h.signal(syscall.SIGKILL)
 		<-h.exited
@@ -103,38 +126,65 @@
 	time.Sleep(duration)
 }
 
-// injectStoreFault makes all calls to the store fail in the same way for the
-// duration. Of several active faults the latest applies. If the store was unavailable,
-// all leases end with the fault.
-func (c *cluster) injectStoreFault(fault standin.Fault, duration time.Duration) {
-	c.mu.Lock()
-	c.storeFaultyUntil = later(c.storeFaultyUntil, time.Now().Add(duration))
-	c.mu.Unlock()
+// isStoreFaultDue reports whether a fault of the store that was drawn is to be injected.
+// More hosts have more faults at a time, but only one store.
+func (c *cluster) isStoreFaultDue() bool {
+	return int(c.storeFaultsDrawn.Add(1))*defaultHosts%len(c.hosts) < defaultHosts
+}
+
+// storeFault is a fault of the store: what happens to its calls, and how it changes the
+// store.
+type storeFault struct {
+	calls standin.Fault
+	// begin, if any, is called when the fault begins. It returns what is to be done to
+	// the store when the fault ends.
+	begin func(s *standin.Store) (end func())
+}
+
+// storeFaults are the faults that are injected into the store. All leases end with an
+// outage.
+var storeFaults = []storeFault{
+	{standin.Unavailable, expireLeases},
+	{standin.RateLimited, nil},
+	{standin.ConnectionReset, nil},
+	{standin.ResponseLost, nil},
+	{standin.ResponseTruncated, nil},
+	{standin.Unavailable, expireLeases},
+}
+
+func expireLeases(s *standin.Store) (end func()) { return s.ExpireLeases }
+
+// injectStoreFault injects a fault into all calls to the store for the duration. Of
+// several active faults the latest applies.
+func (c *cluster) injectStoreFault(fault storeFault, duration time.Duration) {
+	c.extendStoreFault(time.Now().Add(duration))
 	c.storeMu.Lock()
 	id := len(c.storeFaults)
-	c.storeFaults = append(c.storeFaults, fault)
+	c.storeFaults = append(c.storeFaults, fault.calls)
 	c.storeMu.Unlock()
-	time.Sleep(duration)
-	if fault == standin.Unavailable {
-		c.store.ExpireLeases()
+	end := func() {}
+	if fault.begin != nil {
+		end = fault.begin(c.store)
 	}
+	time.Sleep(duration)
+	end()
 	c.storeMu.Lock()
 	c.storeFaults[id] = standin.NoFault
 	c.storeMu.Unlock()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.storeFaultyUntil = later(c.storeFaultyUntil, time.Now())
+	c.extendStoreFault(time.Now())
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// extendStoreFault records that the store has a fault until the given time at least.
+func (c *cluster) extendStoreFault(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if until.After(c.storeFaultyUntil) {
+		c.storeFaultyUntil = until
 	}
-	return b
 }
 
-// storeFault returns the fault of the store that applies now.
-func (c *cluster) storeFault() standin.Fault {
+// activeStoreFault returns the fault that applies to calls to the store now.
+func (c *cluster) activeStoreFault() standin.Fault {
 	c.storeMu.Lock()
 	defer c.storeMu.Unlock()
 	for _, fault := range slices.Backward(c.storeFaults) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,6 +17,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,19 +27,30 @@
 var (
 	firstSeed   = flag.Uint64("soak.first", 1, "first seed")
 	seedCount   = flag.Uint64("soak.seeds", 1, "number of seeds after the regression cases")
-	faultPeriod = flag.Duration("soak.length", 6*time.Second, "how long faults are injected for each seed")
+	faultPeriod = flag.Duration("soak.length", 6*time.Second, "how long faults are injected for each seed, after half as long a time with planned work only")
+	hostCount   = flag.Int("soak.hosts", defaultHosts, "number of hosts, each with a process, from 4 to 100")
+)
+
+const (
+	defaultHosts = 4
+	// maxPrinted is the number of failures of a seed that are printed. The others are in
+	// failures.txt beside the logs.
+	maxPrinted = 20
 )
 
 // regressions are the seeds that once failed, each with the cause. They always run.
 var regressions = map[uint64]string{
-	1: "logging after the log was closed panicked; a SIGHUP before main ends the process",
-	7: "a request that a stopping node read while it ended was lost",
+	1: "logging after the log was closed panicked; a SIGHUP before main ends the process; requests behind the response that closes a draining connection were lost",
+	7: "a request that a stopping node read while it ended was lost; as 1, behind the response that closes a draining connection",
 }
 
 var hostBinary string
 
 func TestMain(m *testing.M) {
 	flag.Parse()
+	if *hostCount < defaultHosts || *hostCount > 100 {
+		panic("soak.hosts must be from 4 to 100")
+	}
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		panic(err)
@@ -56,18 +68,22 @@
 // Guards against promises that hold only without faults: no call is executed twice,
 // a call reported as not executed was not executed, responses are complete and
 // belong to their calls, a new plan is active within planDeadline and is never
-// replaced by an older one, a planned stop loses no call, and all services are
-// available again within recoveryTimeout of the last fault.
+// replaced by an older one, planned work loses no call, pipelined ones included, and
+// all services are available again within recoveryTimeout of the last fault.
 func TestPromisesUnderFaults(t *testing.T) {
 	run := func(seed uint64, cause string) {
 		Convey(fmt.Sprintf("seed %d %s", seed, cause), t, func() {
 			dir := t.TempDir()
-			failures := runSeed(dir, seed, *faultPeriod)
+			failures, summary := runSeed(dir, seed, *faultPeriod)
+			t.Logf("seed %d: %s", seed, summary)
 			if len(failures) > 0 {
 				logDir := filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d-%d", seed, os.Getpid()))
-				t.Logf("seed %d, logs in %s (copied: %v):\n%s", seed, logDir, os.CopyFS(logDir, os.DirFS(dir)), strings.Join(failures, "\n"))
+				if err := os.WriteFile(filepath.Join(dir, "failures.txt"), []byte(strings.Join(failures, "\n")), 0o600); err != nil {
+					panic(err)
+				}
+				t.Logf("seed %d, %d failures, logs in %s (copied: %v):\n%s", seed, len(failures), logDir, os.CopyFS(logDir, os.DirFS(dir)), strings.Join(failures[:min(len(failures), maxPrinted)], "\n"))
 			}
-			So(failures, ShouldBeEmpty)
+			So(len(failures), ShouldEqual, 0)
 		})
 	}
 	for _, seed := range slices.Sorted(maps.Keys(regressions)) {
@@ -81,18 +97,23 @@
 }
 
 // runSeed starts a cluster, injects the faults of a seed while clients call it, and
-// returns the violated promises.
-func runSeed(dir string, seed uint64, faultPeriod time.Duration) []string {
-	c := newCluster(dir, rand.New(rand.NewPCG(seed, 0)))
+// returns the violated promises and a summary of the calls.
+func runSeed(dir string, seed uint64, faultPeriod time.Duration) (failures []string, summary string) {
+	c := newCluster(dir, rand.New(rand.NewPCG(seed, 0)), *hostCount)
 	defer c.close()
+	go c.recordStalls()
 	if !c.awaitServing() {
-		return c.fail("start: not all hosts serve both services within %v", recoveryTimeout)
+		return c.fail("start: not all hosts serve both services within %v", recoveryTimeout), c.summary()
 	}
-	stopClients := c.startClients()
+	stopClients := c.startClients(seed)
+	var running sync.WaitGroup
+	running.Go(func() { c.injectPlannedWork(rand.New(rand.NewPCG(seed, plannedStream)), faultPeriod*3/2) })
+	time.Sleep(faultPeriod / 2)
 	c.injectFaults(faultPeriod)
+	running.Wait()
 	if !c.awaitServing() {
 		c.fail("recovery: not all hosts serve both services within %v of the last fault", recoveryTimeout)
 	}
 	stopClients()
-	return c.checkCalls()
+	return c.checkCalls(), c.summary()
 }
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -1,17 +1,16 @@
 package soak
 
 import (
-	"context"
+	"errors"
 	"fmt"
-	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"geraniumnotch.example/geraniumnotch/platform/standin"
 )
 
 const (
@@ -20,7 +19,12 @@
 	// deadlineTolerance is how long after the client's deadline a response may
 	// arrive.
 	deadlineTolerance = 500 * time.Millisecond
-	longBodyBytes     = 50_000
+	// lossSlack is how long after its last byte was sent a request may still be
+	// unread when its connection is closed.
+	lossSlack     = 200 * time.Millisecond
+	longBodyBytes = 50_000
+	// clientStream is the first random stream of the pipelining clients of a seed.
+	clientStream = 1000
 	// routeTimeout is the timeout of the routes of the stand-in.
 	routeTimeout = 2 * time.Second
 	// responseTransfer is the time that a response may take from the endpoint to the
@@ -30,16 +34,23 @@
 
 // callRecord is a call and its result as the client observed it.
 type callRecord struct {
-	id         string
-	host       *host
-	path       string
+	id   string
+	host *host
+	// path is the route's path, rest the path below it.
+	path, rest string
 	atMostOnce bool
+	bodyBytes  int
 	sentAt     time.Time
-	latency    time.Duration
-	status     int
-	body       string
-	wantBody   string
-	err        error
+	// written is when the last byte of the request was written, zero if it was not.
+	written time.Time
+	latency time.Duration
+	// ahead is the number of earlier requests on the connection that had no response
+	// when the call was sent.
+	ahead    int
+	status   int
+	body     string
+	wantBody string
+	err      error
 }
 
 // hadNoFault reports whether no fault except planned stops affected the client's host
@@ -48,6 +59,16 @@
 	return r.host.hadNoFault(r.sentAt.Add(-faultFreePeriod), r.sentAt.Add(r.latency), false)
 }
 
+// isReadAndLost reports whether the connection ended without a response so late after
+// the request that the host must have read it. A request behind another one may be
+// left unread.
+func (r callRecord) isReadAndLost() bool {
+	var timeout net.Error
+	isTimeout := errors.As(r.err, &timeout) && timeout.Timeout()
+	return r.err != nil && !isTimeout && r.ahead == 0 && !r.written.IsZero() &&
+		r.sentAt.Add(r.latency).Sub(r.written) > lossSlack
+}
+
 // wasAnswered reports whether an endpoint has responded to the call in time for its
 // response to reach the client, over links without faults.
 func (r callRecord) wasAnswered(executions []*execution) bool {
@@ -59,95 +80,135 @@
 
 var lastCallID atomic.Uint64
 
-// call sends one request to the host and returns its result.
-func (h *host) call(client *http.Client, path, service string, bodyBytes int) callRecord {
-	record := callRecord{id: fmt.Sprintf("%016x", lastCallID.Add(1)), host: h, path: path, atMostOnce: strings.HasPrefix(path, "once"), sentAt: time.Now()}
-	record.wantBody = fmt.Sprintf("%s %s %d", record.id, service, bodyBytes)
-	method := http.MethodGet
-	if record.atMostOnce {
-		method = http.MethodPost
+// newCall returns a call to a route of a service that has not been sent yet.
+func (h *host) newCall(path, service string, bodyBytes int) *callRecord {
+	id := fmt.Sprintf("%016x", lastCallID.Add(1))
+	return &callRecord{
+		id: id, host: h, path: path, rest: "x", atMostOnce: strings.HasPrefix(path, "once"), bodyBytes: bodyBytes,
+		wantBody: fmt.Sprintf("%s %s %d", id, service, bodyBytes),
+	}
+}
+
+func (r callRecord) String() string {
+	return r.path + " " + r.id + " of " + r.sentAt.UTC().Format("15:04:05.000")
+}
+
+func (r callRecord) isServed() bool {
+	return r.err == nil && r.status == http.StatusOK && r.body == r.wantBody
+}
+
+// client makes one call after the other and keeps its connection until the host
+// closes it or announces that.
+type client struct {
+	host *host
+	conn *clientConn
+	// unchecked is set if the calls are not recorded.
+	unchecked bool
+}
+
+// call makes one call and returns its result.
+func (l *client) call(path, service string, bodyBytes int) *callRecord {
+	call := l.host.newCall(path, service, bodyBytes)
+	if l.conn == nil {
+		conn, err := l.host.dial()
+		if err != nil {
+			call.err, call.sentAt = err, time.Now()
+			return call
+		}
+		conn.unchecked = l.unchecked
+		l.conn = conn
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline+2*time.Second)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+h.addresses["calls"]+"/"+path+"/x", strings.NewReader(strings.Repeat("x", bodyBytes)))
-	if err != nil {
-		panic(err)
+	l.conn.send(call)
+	l.conn.receive()
+	if l.conn.closing {
+		l.close()
 	}
-	request.Host = "h.example"
-	standin.SetClientHeaders(request.Header, record.id, clientDeadline)
-	response, err := client.Do(request)
-	if err == nil {
-		var body []byte
-		body, err = io.ReadAll(response.Body)
-		_ = response.Body.Close() // The body has been read.
-		record.status, record.body = response.StatusCode, string(body)
+	return call
+}
+
+func (l *client) close() {
+	if l.conn != nil {
+		l.conn.close()
+		l.conn = nil
 	}
-	record.err, record.latency = err, time.Since(record.sentAt)
-	return record
 }
 
 // awaitServing waits until every host serves both services and the newest plan in
 // two consecutive rounds. It reports false after recoveryTimeout.
 func (c *cluster) awaitServing() bool {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	version, _, _ := c.newestVersion()
-	successes := 0
-	for end := time.Now().Add(recoveryTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		all := true
-		for _, h := range c.hosts {
-			for path, service := range map[string]string{"one": "one", "two": "two", versionPath(version): "one"} {
-				call := h.call(client, path, service, 0)
-				all = all && call.err == nil && call.status == http.StatusOK && call.body == call.wantBody
+	end := time.Now().Add(recoveryTimeout)
+	var running sync.WaitGroup
+	var failed atomic.Bool
+	for _, h := range c.hosts {
+		running.Go(func() {
+			for successes := 0; successes < 2; time.Sleep(100 * time.Millisecond) {
+				if time.Now().After(end) {
+					failed.Store(true)
+					return
+				}
+				if successes++; !h.servesAll(version) {
+					successes = 0
+				}
 			}
-		}
-		if successes++; !all {
-			successes = 0
-		}
-		if successes == 2 {
-			return true
+		})
+	}
+	running.Wait()
+	return !failed.Load()
+}
+
+// servesAll reports whether the host serves both services and a version of the plan on
+// new connections.
+func (h *host) servesAll(version int) bool {
+	for path, service := range map[string]string{"one": "one", "two": "two", versionPath(version): "one"} {
+		l := &client{host: h, unchecked: true}
+		call := l.call(path, service, 0)
+		l.close()
+		if !call.isServed() {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // startClients starts the clients of all hosts. The returned function stops them and
 // waits until they have ended.
-func (c *cluster) startClients() (stop func()) {
+func (c *cluster) startClients(seed uint64) (stop func()) {
 	stopped := make(chan struct{})
 	var running sync.WaitGroup
-	for _, h := range c.hosts {
+	for i, h := range c.hosts {
+		random := rand.New(rand.NewPCG(seed, uint64(clientStream+i)))
+		running.Go(func() { h.pipeline(random, stopped) })
 		for n := range clientsPerHost {
-			running.Add(1)
-			go func() {
-				defer running.Done()
-				client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			running.Go(func() {
+				l := &client{host: h}
+				defer l.close()
 				for i := n; ; i++ {
 					select {
 					case <-stopped:
 						return
 					case <-time.After(15 * time.Millisecond):
 					}
-					c.makeCall(h, client, i)
+					c.makeCall(l, i)
 				}
-			}()
+			})
 		}
 	}
 	return func() { close(stopped); running.Wait() }
 }
 
-// makeCall makes the i-th call of a client and records its result. The kinds of calls
-// alternate.
-func (c *cluster) makeCall(h *host, client *http.Client, i int) {
+// makeCall makes the i-th call of a client. The kinds of calls alternate.
+func (c *cluster) makeCall(l *client, i int) {
 	service := services[i/2%2]
 	switch i % 4 {
 	case 0:
-		c.addCall(h.call(client, service, service, 0))
+		l.call(service, service, 0)
 	case 1:
-		c.addCall(h.call(client, "once-"+service, service, longBodyBytes*(i/4%2)))
+		l.call("once-"+service, service, longBodyBytes*(i/4%2))
 	case 2:
-		c.addCall(h.call(client, "once-"+service, service, 100))
+		l.call("once-"+service, service, 100)
 	default:
-		c.probeVersions(h, client)
+		c.probeVersions(l)
 	}
 }
 
@@ -160,15 +221,15 @@
 // probeVersions calls the routes of the newest version and of the one before. It checks
 // that a new plan is active within planDeadline and that no process serves an older
 // version after a newer one.
-func (c *cluster) probeVersions(h *host, client *http.Client) {
+func (c *cluster) probeVersions(l *client) {
+	h := l.host
 	version, writtenAt, storeFaultyUntil := c.newestVersion()
 	h.mu.Lock()
 	process, newestVersion := h.process, h.newestVersion
 	h.mu.Unlock()
 	for _, v := range []int{version, version - 1} {
 		sentAt := time.Now()
-		call := h.call(client, versionPath(v), "one", 0)
-		c.addCall(call)
+		call := l.call(versionPath(v), "one", 0)
 		if call.err != nil || call.status != http.StatusOK {
 			continue
 		}
@@ -206,22 +267,24 @@
 		}
 		switch {
 		case call.atMostOnce && executed > 1:
-			c.fail("%s %s was executed %d times", call.path, call.id, executed)
+			c.fail("%s was executed %d times", call, executed)
 		case call.atMostOnce && executed > 0 && (call.status == http.StatusServiceUnavailable || call.status == http.StatusTooManyRequests):
-			c.fail("%s %s was rejected with status %d and executed", call.path, call.id, call.status)
+			c.fail("%s was rejected with status %d and executed", call, call.status)
 		case call.err == nil && call.status == http.StatusOK && call.body != call.wantBody:
-			c.fail("%s %s got the wrong response %q", call.path, call.id, call.body)
+			c.fail("%s at %s got the wrong response %.100q of %d bytes", call, call.host.name, call.body, len(call.body))
 		case call.err == nil && call.status == http.StatusOK && !isProbe:
 			served++
 		case call.err == nil && call.status >= 500 && call.hadNoFault() && call.wasAnswered(executions[call.id]):
-			c.fail("%s %s got status %d at %s though an endpoint had responded", call.path, call.id, call.status, call.host.name)
+			c.fail("%s got status %d at %s though an endpoint had responded", call, call.status, call.host.name)
 		case call.err == nil && call.status >= 400 && call.status < 500 && !isProbe:
-			c.fail("%s %s got status %d at %s", call.path, call.id, call.status, call.host.name)
+			c.fail("%s got status %d at %s", call, call.status, call.host.name)
 		case call.err != nil && executed > 0 && call.hadNoFault():
-			c.fail("%s %s at %s was executed and its response lost: %v", call.path, call.id, call.host.name, call.err)
+			c.fail("%s at %s, sent behind %d others, was executed %v after it was sent and its response lost after %v: %v", call, call.host.name, call.ahead, executions[call.id][0].begin.Sub(call.sentAt), call.latency, call.err)
+		case call.isReadAndLost() && call.hadNoFault():
+			c.fail("%s at %s got no response; its connection was closed %v after it was sent: %v", call, call.host.name, call.latency, call.err)
 		}
 		if call.latency > clientDeadline+deadlineTolerance && call.hadNoFault() {
-			c.fail("%s %s at %s took %v", call.path, call.id, call.host.name, call.latency)
+			c.fail("%s at %s took %v", call, call.host.name, call.latency)
 		}
 	}
 	// Faults affect about two of the four hosts at a time, and each service has
@@ -233,3 +296,30 @@
 	defer c.mu.Unlock()
 	return c.failures
 }
+
+// summary returns what the run covered.
+func (c *cluster) summary() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pipelined, served, own, behindClose, unanswered, calm := 0, 0, 0, 0, 0, 0
+	for _, call := range c.calls {
+		if call.ahead > 0 {
+			pipelined++
+		}
+		if call.hadNoFault() {
+			calm++
+		}
+		switch {
+		case errors.Is(call.err, errBehindClose):
+			behindClose++
+		case call.err != nil:
+			unanswered++
+		case call.isServed():
+			served++
+		case call.status >= 500:
+			own++
+		}
+	}
+	return fmt.Sprintf("%d calls (%d behind others, %d at hosts with nothing but planned stops): %d served, %d answered by a node, %d sent behind a response with Connection: close, %d others without a response; the test process stalled %d times: %s",
+		len(c.calls), pipelined, calm, served, own, behindClose, unanswered, len(c.stalls), strings.Join(c.stalls, ", "))
+}
