--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,35 +40,55 @@
 
 var services = []string{"one", "two"}
 
-// cluster is four hosts with their endpoints and a stand-in of the store. Both
-// services have endpoints on two hosts.
+// cluster is several hosts with their endpoints and a stand-in of the store. Each
+// service has endpoints on half of the hosts.
 type cluster struct {
 	dir    string
 	random *rand.Rand
 	store  *standin.Store
 	hosts  []*host
 	done   chan struct{}
+	// storeFaultsDrawn counts the faults of the store that the plan has.
+	storeFaultsDrawn atomic.Int32
+
+	// storeMu is taken by the store while it holds its own mutex. mu is held while the
+	// store is called.
+	storeMu sync.Mutex
+	// storeFaults are the faults of the store since the start; those that have ended
+	// are NoFault.
+	storeFaults []standin.Fault
 
 	mu               sync.Mutex
 	version          int
 	writtenAt        time.Time
 	storeFaultyUntil time.Time
-	executions       map[string]int
+	executions       map[string][]*execution
 	failures         []string
-	calls            []callRecord
+	// stalls are the times in which the test process itself was delayed.
+	stalls []string
+	calls  []callRecord
+}
+
+// execution is the execution of a call by an endpoint.
+type execution struct {
+	host  *host
+	begin time.Time
+	// end is zero while the call is executed, and if its response was dropped.
+	end time.Time
 }
 
 // host is a process of the program under test with its endpoint, and the proxies that
 // inject faults into its links and store connections.
 type host struct {
-	cluster        *cluster
-	name           string
-	service        string
-	addresses      map[string]string
-	peerProxy      *proxy
-	storeProxy     *proxy
-	endpoint       *http.Server
-	dropsResponses atomic.Bool
+	cluster    *cluster
+	name       string
+	service    string
+	addresses  map[string]string
+	peerProxy  *proxy
+	storeProxy *proxy
+	endpoint   *http.Server
+	// dropFaults counts the active faults in which the endpoint drops responses.
+	dropFaults atomic.Int32
 	// processMu serializes starting, stopping and signalling the process.
 	// stopExpected is set while the test ends the process.
 	processMu    sync.Mutex
@@ -76,17 +98,17 @@
 	exited       chan struct{}
 
 	mu sync.Mutex
-	// plannedStops counts stops by SIGTERM, otherFaults all other faults that
-	// affect the host.
-	plannedStops, otherFaults faultCount
+	// faults are the faults that have affected the host.
+	faults []*faultInterval
 	// newestVersion is the highest plan version that the process has served.
 	newestVersion int
 }
 
-func newCluster(dir string, random *rand.Rand) *cluster {
-	c := &cluster{dir: dir, random: random, store: standin.New(), done: make(chan struct{}), executions: map[string]int{}}
+func newCluster(dir string, random *rand.Rand, hosts int) *cluster {
+	c := &cluster{dir: dir, random: random, store: standin.New(), done: make(chan struct{}), executions: map[string][]*execution{}}
+	c.store.SetFault(func(string) standin.Fault { return c.activeStoreFault() })
 	c.writeVersion()
-	for i := range 4 {
+	for i := range hosts {
 		h := &host{cluster: c, name: fmt.Sprintf("host-%c", 'a'+i), service: services[i%2], addresses: map[string]string{}}
 		pid := os.Getpid()
 		for offset, name := range []string{"endpoint", "calls", "peers", "ready", "announcements", "metrics", "advertised", "store"} {
@@ -126,6 +148,29 @@
 	return c.failures
 }
 
+const (
+	stallInterval = 50 * time.Millisecond
+	minStall      = 200 * time.Millisecond
+)
+
+// recordStalls records when a timer of the test process fires late. Failures at these
+// times may be those of a busy machine.
+func (c *cluster) recordStalls() {
+	for {
+		started := time.Now()
+		select {
+		case <-c.done:
+			return
+		case <-time.After(stallInterval):
+		}
+		if delay := time.Since(started) - stallInterval; delay > minStall {
+			c.mu.Lock()
+			c.stalls = append(c.stalls, fmt.Sprintf("%s for %v", started.UTC().Format("15:04:05.000"), delay.Round(time.Millisecond)))
+			c.mu.Unlock()
+		}
+	}
+}
+
 // writeVersion writes the next version of the configuration to the store. Its
 // route versionPath exists in this version only.
 func (c *cluster) writeVersion() {
@@ -148,21 +193,35 @@
 	return c.version, c.writtenAt, c.storeFaultyUntil
 }
 
-// serveCall is the handler of the endpoint. It counts the executions of each call and
-// responds with the call's ID, the service and the size of the request body.
+// serveCall is the handler of the endpoint. It records the executions of each call and
+// responds with the call's ID, the service and the size of the request body. A path
+// such as /one/300/20000 sets the service time in milliseconds and the number of bytes
+// that are added to the response.
 func (h *host) serveCall(rw http.ResponseWriter, r *http.Request, id, _ string) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // A call whose body is truncated is not executed.
 	}
+	e := &execution{host: h, begin: time.Now()}
 	h.cluster.mu.Lock()
-	h.cluster.executions[id]++
+	h.cluster.executions[id] = append(h.cluster.executions[id], e)
 	h.cluster.mu.Unlock()
-	time.Sleep(time.Duration(10+rand.IntN(60)) * time.Millisecond)
-	if h.dropsResponses.Load() && rand.IntN(3) == 0 {
+	serviceTime, bytes := 10+rand.IntN(60), 0
+	_, _ = fmt.Sscanf(r.URL.Path, "/"+h.service+"/%d/%d", &serviceTime, &bytes) // Other calls keep the defaults.
+	time.Sleep(time.Duration(serviceTime) * time.Millisecond)
+	if h.dropFaults.Load() > 0 && rand.IntN(3) == 0 {
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = fmt.Fprintf(rw, "%s %s %d", id, h.service, len(body)) // checkCalls reports a truncated response.
+	response := fmt.Sprintf("%s %s %d%s", id, h.service, len(body), strings.Repeat(".", bytes))
+	if bytes%2 == 0 {
+		rw.Header().Set("Content-Length", strconv.Itoa(len(response))) // Others are sent in chunks if they are long.
+	}
+	if _, err := io.WriteString(rw, response); err != nil {
+		return // The host has closed the connection.
+	}
+	h.cluster.mu.Lock()
+	defer h.cluster.mu.Unlock()
+	e.end = time.Now()
 }
 
 const settingsFormat = `[host]
@@ -251,30 +310,34 @@
 	}
 }
 
-// faultCount counts the active faults and records when the count last changed.
-type faultCount struct {
-	active     int
-	lastChange time.Time
+// faultInterval is the time during which a fault affected a host.
+type faultInterval struct {
+	// planned is set for a stop by SIGTERM.
+	planned bool
+	begin   time.Time
+	// end is zero while the fault is active.
+	end time.Time
 }
 
-func (h *host) addToFaultCount(count *faultCount, delta int) {
+// beginFault records a fault as active until the returned function is called.
+func (h *host) beginFault(planned bool) (end func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	count.active += delta
-	count.lastChange = time.Now()
-}
-
-// beginFault counts a fault as active until the returned function is called.
-func (h *host) beginFault(count *faultCount) (end func()) {
-	h.addToFaultCount(count, 1)
-	return func() { h.addToFaultCount(count, -1) }
+	fault := &faultInterval{planned: planned, begin: time.Now()}
+	h.faults = append(h.faults, fault)
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		fault.end = time.Now()
+	}
 }
 
-// hadNoFaultSince reports whether no fault has affected the host since t. Planned
+// hadNoFault reports whether no fault affected the host between two times. Planned
 // stops count as faults only if includePlannedStops is set.
-func (h *host) hadNoFaultSince(t time.Time, includePlannedStops bool) bool {
+func (h *host) hadNoFault(from, to time.Time, includePlannedStops bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	hadNone := func(count faultCount) bool { return count.active == 0 && count.lastChange.Before(t) }
-	return hadNone(h.otherFaults) && (hadNone(h.plannedStops) || !includePlannedStops)
+	return !slices.ContainsFunc(h.faults, func(f *faultInterval) bool {
+		return (!f.planned || includePlannedStops) && !f.begin.After(to) && (f.end.IsZero() || !f.end.Before(from))
+	})
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,7 +28,7 @@
 			defer running.Done()
 			c.injectFault(kind, variant, h, duration)
 		}()
-		time.Sleep(time.Duration(100+c.random.IntN(700)) * time.Millisecond)
+		c.sleep(time.Duration(100+c.random.IntN(700)) * time.Millisecond)
 	}
 }
 
@@ -40,46 +41,65 @@
 	case 3:
 		c.pauseProcess(h, duration)
 	case 4:
-		h.processMu.Lock()
-		defer h.processMu.Unlock()
-		h.awaitListening()
-		h.signal(syscall.SIGHUP)
+		h.reload()
 	case 5:
 		c.disturbLink(h, h.peerProxy, linkFaults[variant], duration)
 	case 6:
 		c.disturbLink(h, h.storeProxy, linkFaults[variant], duration)
 	case 7:
-		h.beginFault(&h.otherFaults)()
+		h.beginFault(false)()
 		[]*proxy{h.peerProxy, h.storeProxy}[variant%2].reset()
 	case 8:
-		c.injectStoreFault([]standin.Fault{standin.Unavailable, standin.RateLimited, standin.ConnectionReset, standin.ResponseLost, standin.ResponseTruncated, standin.Unavailable}[variant], duration)
+		if !c.isStoreFaultDue() {
+			return
+		}
+		c.injectStoreFault(storeFaults[variant], duration)
 	case 9:
-		h.dropsResponses.Store(true)
+		h.dropFaults.Add(1)
 		time.Sleep(duration)
-		h.dropsResponses.Store(false)
+		h.dropFaults.Add(-1)
 	default:
 		c.writeVersion()
 	}
 }
 
+// reload makes the process read its settings again.
+func (h *host) reload() {
+	h.processMu.Lock()
+	defer h.processMu.Unlock()
+	h.awaitListening()
+	h.signal(syscall.SIGHUP)
+}
+
+// signalAfter is a signal that is sent during a planned stop, after a delay.
+type signalAfter struct {
+	signal syscall.Signal
+	delay  time.Duration
+}
+
 // restart ends the process with a signal and starts it again after the downtime.
-// SIGTERM is a planned stop: the process must end with status 0.
-func (c *cluster) restart(h *host, s syscall.Signal, downtime time.Duration) {
+// SIGTERM is a planned stop: the process must end with status 0, also if further signals
+// are sent during the stop.
+func (c *cluster) restart(h *host, s syscall.Signal, downtime time.Duration, during ...signalAfter) {
 	h.processMu.Lock()
 	defer h.processMu.Unlock()
 	planned := s == syscall.SIGTERM
-	if planned {
-		defer h.beginFault(&h.plannedStops)()
-	} else {
-		defer h.beginFault(&h.otherFaults)()
-	}
+	defer h.beginFault(planned)()
 	h.awaitListening()
 	signalledAt := time.Now()
 	h.stopExpected.Store(true)
 	h.signal(s)
+	stopTimer := time.After(stopTimeout)
+	for _, further := range during {
+		select {
+		case <-h.exited:
+		case <-time.After(further.delay):
+			h.signal(further.signal)
+		}
+	}
 	select {
 	case <-h.exited:
-	case <-time.After(stopTimeout + time.Second):
+	case <-stopTimer:
 		c.fail("%s did not exit within %v of a stop signal", h.name, stopTimeout)
 		h.signal(syscall.SIGKILL)
 		<-h.exited
@@ -94,31 +114,85 @@
 func (c *cluster) pauseProcess(h *host, duration time.Duration) {
 	h.processMu.Lock()
 	defer h.processMu.Unlock()
-	defer h.beginFault(&h.otherFaults)()
+	defer h.beginFault(false)()
 	h.signal(syscall.SIGSTOP)
 	time.Sleep(duration)
 	h.signal(syscall.SIGCONT)
 }
 
 func (c *cluster) disturbLink(h *host, p *proxy, modes [2]linkMode, duration time.Duration) {
-	defer h.beginFault(&h.otherFaults)()
-	p.setModes(modes[0], modes[1])
+	defer h.beginFault(false)()
+	defer p.beginFault(modes)()
 	time.Sleep(duration)
-	p.setModes(pass, pass)
 }
 
-// injectStoreFault makes all calls to the store fail in the same way for the
-// duration. If the store was unavailable, all leases end with the fault.
-func (c *cluster) injectStoreFault(fault standin.Fault, duration time.Duration) {
-	c.mu.Lock()
-	c.storeFaultyUntil = time.Now().Add(duration)
-	c.mu.Unlock()
-	c.store.SetFault(func(string) standin.Fault { return fault })
+// isStoreFaultDue reports whether a fault of the store that was drawn is to be injected.
+// More hosts have more faults at a time, but only one store.
+func (c *cluster) isStoreFaultDue() bool {
+	return int(c.storeFaultsDrawn.Add(1))*defaultHosts%len(c.hosts) < defaultHosts
+}
+
+// storeFault is a fault of the store: what happens to its calls, and how it changes the
+// store.
+type storeFault struct {
+	calls standin.Fault
+	// begin, if any, is called when the fault begins. It returns what is to be done to
+	// the store when the fault ends.
+	begin func(s *standin.Store) (end func())
+}
+
+// storeFaults are the faults that are injected into the store. All leases end with an
+// outage.
+var storeFaults = []storeFault{
+	{standin.Unavailable, expireLeases},
+	{standin.RateLimited, nil},
+	{standin.ConnectionReset, nil},
+	{standin.ResponseLost, nil},
+	{standin.ResponseTruncated, nil},
+	{standin.Unavailable, expireLeases},
+}
+
+func expireLeases(s *standin.Store) (end func()) { return s.ExpireLeases }
+
+// injectStoreFault injects a fault into all calls to the store for the duration. Of
+// several active faults the latest applies.
+func (c *cluster) injectStoreFault(fault storeFault, duration time.Duration) {
+	c.extendStoreFault(time.Now().Add(duration))
+	c.storeMu.Lock()
+	id := len(c.storeFaults)
+	c.storeFaults = append(c.storeFaults, fault.calls)
+	c.storeMu.Unlock()
+	end := func() {}
+	if fault.begin != nil {
+		end = fault.begin(c.store)
+	}
 	time.Sleep(duration)
-	if fault == standin.Unavailable {
-		c.store.ExpireLeases()
+	end()
+	c.storeMu.Lock()
+	c.storeFaults[id] = standin.NoFault
+	c.storeMu.Unlock()
+	c.extendStoreFault(time.Now())
+}
+
+// extendStoreFault records that the store has a fault until the given time at least.
+func (c *cluster) extendStoreFault(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if until.After(c.storeFaultyUntil) {
+		c.storeFaultyUntil = until
 	}
-	c.store.SetFault(nil)
+}
+
+// activeStoreFault returns the fault that applies to calls to the store now.
+func (c *cluster) activeStoreFault() standin.Fault {
+	c.storeMu.Lock()
+	defer c.storeMu.Unlock()
+	for _, fault := range slices.Backward(c.storeFaults) {
+		if fault != standin.NoFault {
+			return fault
+		}
+	}
+	return standin.NoFault
 }
 
 // awaitListening waits until the process listens. Until then it may not handle
@@ -131,13 +205,3 @@
 		}
 	}
 }
-
-// endFaults ends the faults of the store, the links and the endpoints.
-func (c *cluster) endFaults() {
-	c.store.SetFault(nil)
-	for _, h := range c.hosts {
-		h.peerProxy.setModes(pass, pass)
-		h.storeProxy.setModes(pass, pass)
-		h.dropsResponses.Store(false)
-	}
-}
