soak: restore the store from an earlier copy after an outage

The soak never gave out revisions or lease IDs a second time, so that it could not find plans that were kept after a restore.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -38,6 +38,9 @@
 	firstPort, portsPerHost = 10000, 10
 )
 
+// maxCopies is the number of versions that a restore of the store loses.
+const maxCopies = 4
+
 var services = []string{"one", "two"}
 
 // cluster is several hosts with their endpoints and a stand-in of the store. Each
@@ -58,7 +61,10 @@
 	// are NoFault.
 	storeFaults []standin.Fault
 
-	mu               sync.Mutex
+	mu sync.Mutex
+	// copies are copies of the store from before each of the latest versions.
+	copies           []standin.Copy
+	configuration    []byte
 	version          int
 	writtenAt        time.Time
 	storeFaultyUntil time.Time
@@ -176,15 +182,25 @@
 func (c *cluster) writeVersion() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.copies = append(c.copies[max(0, len(c.copies)-maxCopies+1):], c.store.Copy())
 	c.version++
-	c.store.Write(platform.ConfigKey, standin.ConfigWithRoutes(c.version,
+	c.configuration = standin.ConfigWithRoutes(c.version,
 		standin.Route{Path: "one", Service: "one"}, standin.Route{Path: "two", Service: "two"},
 		standin.Route{Path: "once-one", Service: "one", AtMostOnce: true}, standin.Route{Path: "once-two", Service: "two", AtMostOnce: true},
 		standin.Route{Path: versionPath(c.version), Service: "one"},
-	))
+	)
+	c.store.Write(platform.ConfigKey, c.configuration)
 	c.writtenAt = time.Now()
 }
 
+// restoreStore restores the store from a copy that lacks the latest versions. The
+// operator writes the newest one again.
+func (c *cluster) restoreStore() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store.Restore(c.copies[0], standin.Entry{Key: platform.ConfigKey, Value: c.configuration})
+}
+
 func versionPath(version int) string { return fmt.Sprintf("v%d", version) }
 
 func (c *cluster) newestVersion() (version int, writtenAt, storeFaultyUntil time.Time) {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -136,23 +136,22 @@
 // store.
 type storeFault struct {
 	calls standin.Fault
-	// begin, if any, is called when the fault begins. It returns what is to be done to
-	// the store when the fault ends.
-	begin func(s *standin.Store) (end func())
+	// end, if any, is called when the fault ends.
+	end func(c *cluster)
 }
 
 // storeFaults are the faults that are injected into the store. All leases end with an
-// outage.
+// outage, or the store is restored from an earlier copy.
 var storeFaults = []storeFault{
-	{standin.Unavailable, expireLeases},
+	{standin.Unavailable, (*cluster).expireLeases},
 	{standin.RateLimited, nil},
 	{standin.ConnectionReset, nil},
 	{standin.ResponseLost, nil},
 	{standin.ResponseTruncated, nil},
-	{standin.Unavailable, expireLeases},
+	{standin.Unavailable, (*cluster).restoreStore},
 }
 
-func expireLeases(s *standin.Store) (end func()) { return s.ExpireLeases }
+func (c *cluster) expireLeases() { c.store.ExpireLeases() }
 
 // injectStoreFault injects a fault into all calls to the store for the duration. Of
 // several active faults the latest applies.
@@ -162,12 +161,10 @@
 	id := len(c.storeFaults)
 	c.storeFaults = append(c.storeFaults, fault.calls)
 	c.storeMu.Unlock()
-	end := func() {}
-	if fault.begin != nil {
-		end = fault.begin(c.store)
-	}
 	time.Sleep(duration)
-	end()
+	if fault.end != nil {
+		fault.end(c)
+	}
 	c.storeMu.Lock()
 	c.storeFaults[id] = standin.NoFault
 	c.storeMu.Unlock()
