callmux: report a truncated body as incomplete to the other host

Callers got a truncated response as a complete one when the endpoint was at another host and its response longer than 64 KiB: in chunks, it ended with a last chunk; with a length, the response to the next request was read as its rest. Endpoints got a truncated request body in chunks as a complete one in the same way.

Cause: copyBody fills each frame with io.ReadFull, which returns io.ErrUnexpectedEOF at a regular end within a frame. net/http returns the same error for a body that was truncated, and copyBody took both for the end.

Frames are filled by a loop of its own now, which returns the reader's error unchanged. Only io.EOF ends a body.

--- a/callmux/pipe.go
+++ b/callmux/pipe.go
@@ -130,11 +130,25 @@
 			return
 		}
 		chunk := make([]byte, n)
-		got, err := io.ReadFull(r, chunk)
+		got, err := readChunk(r, chunk)
 		window.add(n - got) // Returns the unused credit.
-		end := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+		end := errors.Is(err, io.EOF)
 		if sendErr := send(chunk[:got], end, err != nil && !end); sendErr != nil || err != nil {
 			return
 		}
 	}
 }
+
+// readChunk fills the chunk. Unlike io.ReadFull, it returns io.EOF after a part of it, so
+// that io.ErrUnexpectedEOF always is the error of a body that was truncated.
+func readChunk(r io.Reader, chunk []byte) (int, error) {
+	n := 0
+	for n < len(chunk) {
+		got, err := r.Read(chunk[n:])
+		n += got
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
