ingress: do not cancel a call when its long body has been read

Callers that sent a body longer than 1 MiB got no response, and their connection was closed, when the call was idempotent or its endpoint at another host.

Cause: streamBody cancelled the context of the call when it returned, and it returns as soon as the body has been read, before the endpoint responds. Calls that are executed once at most at the endpoint of this host ignore the context while they are executed; TestBodies sends only those.

The context now ends with the exchange.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -61,11 +61,13 @@
 // streamBody forwards a long body while it arrives.
 func (x *exchange) streamBody(cl *call.Call, prefix []byte, rest io.Reader, maxBytes int64) bool {
 	ctx, cancel := context.WithCancel(x.c.ctx)
-	defer cancel()
 	body := &streamedBody{prefix: prefix, rest: rest, remaining: maxBytes - int64(len(prefix)), cancel: cancel, received: make(chan struct{})}
 	x.streamed = body
 	cl.Body = body
-	go x.forward(ctx, cl)
+	go func() {
+		defer cancel()
+		x.forward(ctx, cl)
+	}()
 	select {
 	case <-x.done:
 		// The response was written before the whole body arrived.
