transport, hostnode: send the last results to the peers before the links close

Callers at other hosts got 502 for calls that an endpoint had executed while its node stopped.

Cause: the node counted a call of a peer as finished once its slot was free, which is before its response is queued on the link. The process then ended with frames in the queues. What had been written could be lost too: closing a connection with unread bytes resets it, and the peer loses what it has not read yet.

A stopping node now also waits for calls of peers whose result is not yet queued. It then closes its links with the closing handshake of the WebSocket protocol, behind the queued frames, and accepts no new ones. Peers that do not reply delay the end of the process by 200 ms at most, within the time reserved for it.

--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -249,6 +249,13 @@
 	}
 }
 
+// Serving returns the number of the peer's calls whose result has not been queued.
+func (m *Mux) Serving() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.incoming)
+}
+
 // Handle handles a message from the link. It reports false for kinds that do not
 // belong to calls. It does not block.
 func (m *Mux) Handle(msg transport.Message) (bool, error) {
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -47,6 +47,9 @@
 	// abortReserve is the part of the drain time before drainReserve in which the calls
 	// that are still in flight get a response.
 	abortReserve = 300 * time.Millisecond
+	// linkCloseTimeout is the part of drainReserve in which the other hosts receive the
+	// last results of their calls.
+	linkCloseTimeout = 200 * time.Millisecond
 	// reloadInterval is the interval at which the settings file is read again,
 	// because it may change without a signal.
 	reloadInterval = 2 * time.Second
@@ -76,6 +79,8 @@
 	calls   net.Listener
 	servers []*http.Server
 	cancel  context.CancelFunc
+	// linksClosed is closed when the links to the other hosts have ended.
+	linksClosed chan struct{}
 }
 
 // New assembles a node with the settings of the file at path. It starts nothing.
@@ -94,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{path: path, logger: logger, metrics: registry, started: time.Now(), store: store}
+	n := &Node{path: path, logger: logger, metrics: registry, started: time.Now(), store: store, linksClosed: make(chan struct{})}
 	n.settings.Store(s)
 	n.planKeeper = &planKeeper{
 		store: n.store, current: &n.plan, logger: logger, tracker: plansync.New(fmt.Sprint(s.Host, "/", n.started.UnixNano()), s.PlanDeadline),
@@ -190,7 +195,10 @@
 	go func() { _ = n.ingress.Serve(calls) }() // Ends when the listener is closed.
 	go n.planKeeper.run(ctx)
 	go n.registrar.run(ctx)
-	go n.directory.Run(ctx)
+	go func() {
+		defer close(n.linksClosed)
+		n.directory.Run(ctx)
+	}()
 	go boottime.WatchSuspensions(ctx, n.onSuspended)
 	go n.watchSettings(ctx)
 	eventStarted.Log(n.logger, "host", s.Host, "failure_domain", s.FailureDomain, "service", s.Endpoint.Service, "endpoint_address", s.Endpoint.Address)
@@ -271,6 +279,10 @@
 	}
 	eventStopped.Log(n.logger, "calls", n.ingress.Active(), "took_ms", time.Since(started).Milliseconds())
 	n.cancel()
+	select {
+	case <-n.linksClosed:
+	case <-time.After(linkCloseTimeout):
+	}
 	n.closeListeners()
 }
 
@@ -285,7 +297,9 @@
 }
 
 // isDrained closes idle connections and reports whether no call is in flight.
-func (n *Node) isDrained() bool { return n.ingress.CloseIdle() == 0 && n.endpointCalls() == 0 }
+func (n *Node) isDrained() bool {
+	return n.ingress.CloseIdle() == 0 && n.endpointCalls() == 0 && n.directory.Serving() == 0
+}
 
 // abortCalls ends the calls in flight. Those of peers that wait for the endpoint may
 // still be executed at another host.
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -41,6 +41,12 @@
 	// removeAfter is how long a host without a link is kept and redialed. Hosts that
 	// cannot read the store depend on being dialed by others.
 	removeAfter = 90 * time.Second
+	// closeTimeout limits the time in which the peers receive their results after Run
+	// was told to end. It is less than the time that a stopping process reserves.
+	closeTimeout = 150 * time.Millisecond
+	// servingPollInterval is the interval at which Run then checks whether results are
+	// due.
+	servingPollInterval = 5 * time.Millisecond
 	// linkQueueFrames is the capacity of the send queue of a link.
 	linkQueueFrames = 128
 )
@@ -137,7 +143,9 @@
 // HostCount returns the number of reachable hosts, including this one.
 func (d *Directory) HostCount() int { return int(d.hostCount.Load()) }
 
-// Run dials hosts, sends status reports and checks the links until ctx ends.
+// Run dials hosts, sends status reports and checks the links until ctx ends. It then
+// closes the links once the peers have received their results, after closeTimeout in any
+// case.
 func (d *Directory) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -145,7 +153,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			d.manager.Close()
+			d.closeLinks()
 			return
 		case <-d.sendNow:
 			lastReport = time.Time{}
@@ -161,6 +169,28 @@
 	}
 }
 
+// closeLinks closes the links once the peers have received their results.
+func (d *Directory) closeLinks() {
+	defer d.manager.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for d.Serving() > 0 && ctx.Err() == nil {
+		time.Sleep(servingPollInterval)
+	}
+	d.manager.Shutdown(ctx)
+}
+
+// Serving returns the number of calls of peers whose result has not been queued.
+func (d *Directory) Serving() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, mux := range d.muxes {
+		n += mux.Serving()
+	}
+	return n
+}
+
 // ReportNow triggers a status report to all peers before the next one is due.
 func (d *Directory) ReportNow() {
 	select {
--- a/transport/link.go
+++ b/transport/link.go
@@ -22,6 +22,9 @@
 	// closeLink marks an element without a frame that closes the link after the
 	// frames before it were written.
 	closeLink bool
+	// handshake makes closeLink wait until the peer has closed its end too. Closing a
+	// connection with unread bytes resets it, and the peer may lose the last frames.
+	handshake bool
 }
 
 // Link is a connection to a peer. Its methods are safe for concurrent use.
@@ -148,6 +151,15 @@
 	}
 }
 
+// closeWithHandshake ends the link after the frames in the queue were written and the
+// peer has read them, at the latest when the link is closed otherwise.
+func (l *Link) closeWithHandshake() {
+	select {
+	case l.queue <- outgoingFrame{closeLink: true, handshake: true}:
+	case <-l.closed:
+	}
+}
+
 // writeFrames writes the queued frames until the link ends.
 func (l *Link) writeFrames() {
 	defer l.discard()
@@ -170,6 +182,9 @@
 		defer o.done()
 	}
 	if o.closeLink {
+		if o.handshake {
+			_ = l.conn.Close(websocket.StatusGoingAway, "") // The link ends in either case.
+		}
 		return false
 	}
 	if err := l.conn.Write(context.Background(), websocket.MessageBinary, o.frame); err != nil {
--- a/transport/manager.go
+++ b/transport/manager.go
@@ -265,6 +265,29 @@
 	}
 }
 
+// Shutdown rejects new links and ends all links after their queued frames have reached
+// the peers. It returns when the last OnDown has returned or ctx ends; Close ends the
+// remaining links.
+func (m *Manager) Shutdown(ctx context.Context) {
+	m.mu.Lock()
+	m.closed = true
+	links := lo.Values(m.links)
+	m.mu.Unlock()
+	m.cancel()
+	for _, l := range links {
+		go l.closeWithHandshake()
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		m.runningLinks.Wait()
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
 // Close ends all links and rejects new ones. It returns when the last OnDown has
 // returned.
 func (m *Manager) Close() {
