call: give each attempt a body of its own

A retry could send a body from which a part is missing, and fail with it.

Cause: an endpoint may respond before it has read the body. The goroutine that still writes the body then shares its read position with the next attempt.

A call of a client that lost a body in this way was not reproduced.

Rewind now returns a body for the next attempt, which shares only the content with the old one. A body that is streamed from the client is passed on only if no read has begun, and the old attempt cannot read it any more.

--- a/call/body.go
+++ b/call/body.go
@@ -4,17 +4,15 @@
 
 type bytesBody struct {
 	bytes.Reader
+	content []byte
 }
 
 // BytesBody returns a body in memory.
 func BytesBody(b []byte) Body {
-	body := &bytesBody{}
+	body := &bytesBody{content: b}
 	body.Reset(b)
 	return body
 }
 
 // Rewind implements Body.
-func (b *bytesBody) Rewind() bool {
-	_, err := b.Seek(0, 0)
-	return err == nil
-}
+func (b *bytesBody) Rewind() (Body, bool) { return BytesBody(b.content), true }
--- a/call/call.go
+++ b/call/call.go
@@ -46,9 +46,10 @@
 // Body is the body of a request.
 type Body interface {
 	io.Reader
-	// Rewind makes the body readable from its beginning again. It reports false
-	// when bytes have been read that were not buffered.
-	Rewind() bool
+	// Rewind returns the body for another attempt, from its beginning. It reports false
+	// when bytes have been read that were not buffered. The goroutine of an earlier
+	// attempt may still read the old one.
+	Rewind() (Body, bool)
 }
 
 // RemoteBody is a body that is still at the host that accepted the call.
--- a/callmux/bodies.go
+++ b/callmux/bodies.go
@@ -115,7 +115,7 @@
 }
 
 // Rewind reports whether nothing has been read yet.
-func (b *remoteBody) Rewind() bool { return !b.started }
+func (b *remoteBody) Rewind() (call.Body, bool) { return b, !b.started }
 
 // fetchableBody is a body of known length that may be buffered in memory.
 type fetchableBody struct{ remoteBody }
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -63,7 +63,7 @@
 	ctx, cancel := context.WithCancel(x.c.ctx)
 	body := &streamedBody{prefix: prefix, rest: rest, remaining: maxBytes - int64(len(prefix)), cancel: cancel, received: make(chan struct{})}
 	x.streamed = body
-	cl.Body = body
+	cl.Body = &attemptBody{streamedBody: body}
 	go func() {
 		defer cancel()
 		x.forward(ctx, cl)
@@ -84,7 +84,6 @@
 	cancel   func()
 	once     sync.Once
 	received chan struct{}
-	started  bool
 	// remaining is the number of bytes that may still follow; tooLong is set when
 	// more arrived.
 	remaining int64
@@ -95,7 +94,6 @@
 
 // Read returns the next bytes. An incomplete body cancels the call.
 func (b *streamedBody) Read(p []byte) (int, error) {
-	b.started = true
 	if len(b.prefix) > 0 {
 		n := copy(p, b.prefix)
 		b.prefix = b.prefix[n:]
@@ -116,8 +114,36 @@
 	return n, err
 }
 
-// Rewind reports whether nothing has been read yet.
-func (b *streamedBody) Rewind() bool { return !b.started }
+// attemptBody is a streamed body as one attempt reads it.
+type attemptBody struct {
+	*streamedBody
+	state atomic.Uint32
+}
+
+// States of an attemptBody.
+const (
+	bodyUnread uint32 = iota
+	bodyStarted
+	bodyRewound
+)
+
+var errBodyRewound = errors.New("ingress: request body belongs to another attempt")
+
+// Read returns the next bytes unless the body was passed to another attempt.
+func (b *attemptBody) Read(p []byte) (int, error) {
+	if !b.state.CompareAndSwap(bodyUnread, bodyStarted) && b.state.Load() == bodyRewound {
+		return 0, errBodyRewound
+	}
+	return b.streamedBody.Read(p)
+}
+
+// Rewind passes the body to another attempt. It reports false when a read has begun.
+func (b *attemptBody) Rewind() (call.Body, bool) {
+	if !b.state.CompareAndSwap(bodyUnread, bodyRewound) {
+		return nil, false
+	}
+	return &attemptBody{streamedBody: b.streamedBody}, true
+}
 
 func (b *streamedBody) isComplete() bool {
 	select {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -154,7 +154,17 @@
 	s.excluded[host] = true
 }
 
-func (s *callState) rewindBody() bool { return s.c.Body == nil || s.c.Body.Rewind() }
+// rewindBody prepares the body for another attempt and reports whether it can be sent.
+func (s *callState) rewindBody() bool {
+	if s.c.Body == nil {
+		return true
+	}
+	body, rewound := s.c.Body.Rewind()
+	if rewound {
+		s.c.Body = body
+	}
+	return rewound
+}
 
 // mayRetry reports whether the call may be retried. If the other conditions hold, it
 // withdraws a retry from the retry budget.
--- a/localendpoint/exchange.go
+++ b/localendpoint/exchange.go
@@ -135,9 +135,10 @@
 		close(x.bodySent)
 		return err
 	}
+	body, length := x.call.Body, x.call.BodyBytes // Another attempt may replace the body.
 	go func() {
 		defer close(x.bodySent)
-		x.sendErr = x.sendBody()
+		x.sendErr = x.sendBody(body, length)
 	}()
 	return nil
 }
@@ -178,12 +179,12 @@
 
 // sendBody writes the body. It closes the connection if the body is incomplete, so
 // that the endpoint does not mistake it for a complete one.
-func (x *exchange) sendBody() error {
+func (x *exchange) sendBody(body io.Reader, length int64) error {
 	var err error
-	if x.call.BodyBytes >= 0 {
-		_, err = io.CopyN(x.conn.Conn, x.call.Body, x.call.BodyBytes)
+	if length >= 0 {
+		_, err = io.CopyN(x.conn.Conn, body, length)
 	} else {
-		err = writeChunks(x.conn.Conn, x.call.Body)
+		err = writeChunks(x.conn.Conn, body)
 	}
 	if err != nil {
 		_ = x.conn.Close()
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -225,7 +225,8 @@
 			got, err := io.ReadAll(whole)
 			c.So(err, ShouldBeNil)
 			c.So(bytes.Equal(got, body), ShouldBeTrue)
-			c.So(whole.Rewind(), ShouldBeTrue)
+			_, rewound := whole.Rewind()
+			c.So(rewound, ShouldBeTrue)
 			c.So(remote.ExpectedFetchTime(), ShouldEqual, 200*time.Millisecond)
 			return call.Result{Outcome: call.Answered, Response: &call.Response{Status: 200}}
 		}
--- a/peers/truncated_test.go
+++ b/peers/truncated_test.go
@@ -61,4 +61,4 @@
 // unbufferedBody is a body that can be read once.
 type unbufferedBody struct{ io.Reader }
 
-func (unbufferedBody) Rewind() bool { return false }
+func (unbufferedBody) Rewind() (call.Body, bool) { return nil, false }
