--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -47,6 +47,9 @@
 	// abortReserve is the part of the drain time before drainReserve in which the calls
 	// that are still in flight get a response.
 	abortReserve = 300 * time.Millisecond
+	// linkCloseTimeout is the part of drainReserve in which the other hosts receive the
+	// last results of their calls.
+	linkCloseTimeout = 200 * time.Millisecond
 	// reloadInterval is the interval at which the settings file is read again,
 	// because it may change without a signal.
 	reloadInterval = 2 * time.Second
@@ -78,6 +81,8 @@
 	callsEnded chan struct{}
 	servers    []*http.Server
 	cancel     context.CancelFunc
+	// linksClosed is closed when the links to the other hosts have ended.
+	linksClosed chan struct{}
 }
 
 // New assembles a node with the settings of the file at path. It starts nothing.
@@ -96,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{path: path, logger: logger, metrics: registry, started: time.Now(), store: store}
+	n := &Node{path: path, logger: logger, metrics: registry, started: time.Now(), store: store, linksClosed: make(chan struct{})}
 	n.settings.Store(s)
 	n.planKeeper = &planKeeper{
 		store: n.store, current: &n.plan, logger: logger, tracker: plansync.New(fmt.Sprint(s.Host, "/", n.started.UnixNano()), s.PlanDeadline),
@@ -196,7 +201,10 @@
 	}()
 	go n.planKeeper.run(ctx)
 	go n.registrar.run(ctx)
-	go n.directory.Run(ctx)
+	go func() {
+		defer close(n.linksClosed)
+		n.directory.Run(ctx)
+	}()
 	go boottime.WatchSuspensions(ctx, n.onSuspended)
 	go n.watchSettings(ctx)
 	eventStarted.Log(n.logger, "host", s.Host, "failure_domain", s.FailureDomain, "service", s.Endpoint.Service, "endpoint_address", s.Endpoint.Address)
@@ -277,13 +285,17 @@
 	}
 	eventStopped.Log(n.logger, "calls", n.ingress.Active(), "took_ms", time.Since(started).Milliseconds())
 	n.cancel()
+	select {
+	case <-n.linksClosed:
+	case <-time.After(linkCloseTimeout):
+	}
 	n.closeListeners()
 }
 
 // closeIfDrained closes the listener for calls if no call is in flight. It reports true
 // when the last connection of a client has ended after that.
 func (n *Node) closeIfDrained() bool {
-	if n.ingress.CloseIdle() != 0 || n.endpointCalls() != 0 {
+	if n.ingress.CloseIdle() != 0 || n.servesPeers() {
 		return false
 	}
 	_ = n.calls.Close() // It may be closed already.
@@ -291,9 +303,13 @@
 	// report of the drain yet may send a call.
 	<-n.callsEnded
 	n.registration.RejectWaiting()
-	return n.ingress.Connections() == 0 && n.endpointCalls() == 0
+	return n.ingress.Connections() == 0 && !n.servesPeers()
 }
 
+// servesPeers reports whether a call is at the endpoint or its result is not yet queued
+// on the link to its host.
+func (n *Node) servesPeers() bool { return n.endpointCalls() != 0 || n.directory.Serving() != 0 }
+
 // abortCalls ends the calls in flight. Those of peers that wait for the endpoint may
 // still be executed at another host.
 func (n *Node) abortCalls() {
