Run the ingress tests of route timeouts in fake time

Cause: both measured the timeout in real time on loopback. A process that is stopped beyond the deadline handles it late, which the code does not promise to avoid.

Why the tests are as strict: the server, the endpoint and the clock are in a bubble of testing/synctest over transport/faultnet; all checks and bounds are unchanged. For that, localendpoint.Registration takes a dialer as peers.Config does; the default one has the same timeout as before.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -25,6 +27,7 @@
 	"geraniumnotch.example/geraniumnotch/platform/standin"
 	"geraniumnotch.example/geraniumnotch/retrybudget"
 	"geraniumnotch.example/geraniumnotch/routeplan"
+	"geraniumnotch.example/geraniumnotch/transport/faultnet"
 )
 
 // testServer is a server with a local endpoint and no peers.
@@ -34,6 +37,7 @@
 	listener        net.Listener
 	backend         *http.Server
 	backendListener net.Listener
+	dialer          localendpoint.DialFunc
 
 	finished chan ingress.Exchange
 }
@@ -84,25 +88,57 @@
 	return p
 }
 
+// inBubble runs a specification in a synctest bubble, in which times do not depend on
+// the load of the machine.
+func inBubble(t *testing.T, name string, specification func()) {
+	synctest.Test(t, func(t *testing.T) { Convey(name, t, specification) })
+}
+
+// newBubbleServer is newTestServer with an in-memory network and the clock of the
+// synctest bubble.
+func newBubbleServer(handler http.HandlerFunc) *testServer {
+	network, began := faultnet.New(), time.Now()
+	listen := func(address string) net.Listener {
+		l, err := network.Listen(address)
+		if err != nil {
+			panic(err)
+		}
+		return l
+	}
+	const server, backend, dialing = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.2:1"
+	// Fake time passes only while all goroutines wait, and a response without end must
+	// reach its deadline.
+	network.Delay(backend, dialing, time.Millisecond)
+	ts := &testServer{listener: listen(server), backendListener: listen(backend), dialer: network.Dialer(dialing)}
+	ts.start(func() boottime.Time { return time.Since(began) }, handler)
+	return ts
+}
+
 func newTestServer(handler http.HandlerFunc) *testServer {
-	ts := &testServer{listener: listen(), backendListener: listen(), finished: make(chan ingress.Exchange, 100)}
+	ts := &testServer{listener: listen(), backendListener: listen(), dialer: (&net.Dialer{}).DialContext}
+	ts.start(boottime.Now, handler)
+	return ts
+}
+
+func (ts *testServer) start(clock boottime.Clock, handler http.HandlerFunc) {
+	ts.finished = make(chan ingress.Exchange, 100)
 	ts.backend = &http.Server{Handler: standin.EndpointHandler(func(out http.ResponseWriter, r *http.Request, _, _ string) { handler(out, r) })}
 	go func() { _ = ts.backend.Serve(ts.backendListener) }() // Ends in close.
 	identity := localendpoint.Identity{Service: "s", Address: ts.backendListener.Addr().String(), FailureDomain: "d"}
-	registration := localendpoint.NewRegistration(identity, boottime.Now, func(*localendpoint.Endpoint) {})
+	registration := localendpoint.NewRegistration(identity, clock, func(*localendpoint.Endpoint) {})
+	registration.Dial = ts.dialer
 	registration.Announce(localendpoint.Announcement{ID: "a", Service: "s", Address: identity.Address, FailureDomain: "d", Slots: 4, StartedAtMs: 1, Sequence: 1})
-	gate := localendpoint.NewGate(registration, platform.Headers{}, boottime.Now, ts)
-	directory := peers.New(peers.Config{Self: peers.Record{Host: "host", Address: "127.0.0.1:1"}, Clock: boottime.Now, Local: gate})
+	gate := localendpoint.NewGate(registration, platform.Headers{}, clock, ts)
+	directory := peers.New(peers.Config{Self: peers.Record{Host: "host", Address: "127.0.0.1:1"}, Clock: clock, Local: gate})
 	ts.server = ingress.New(ingress.Config{
-		Plan: &ts.plan, Headers: platform.Headers{}, Clock: boottime.Now, Observer: ts, RunningCalls: gate.RunningCalls,
+		Plan: &ts.plan, Headers: platform.Headers{}, Clock: clock, Observer: ts, RunningCalls: gate.RunningCalls,
 		LocalService: func() mesh.ServiceName { return "s" },
 		Forwarder: &ingress.Forwarder{
-			Domain: "d", Peers: directory, LocalGate: gate, Registration: registration, Clock: boottime.Now,
-			RetryBudget: retrybudget.New(retrybudget.Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, boottime.Now, func() int { return 1 }),
+			Domain: "d", Peers: directory, LocalGate: gate, Registration: registration, Clock: clock,
+			RetryBudget: retrybudget.New(retrybudget.Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, clock, func() int { return 1 }),
 		},
 	})
 	go func() { _ = ts.server.Serve(ts.listener) }() // Ends in close.
-	return ts
 }
 
 func (ts *testServer) close() {
@@ -111,7 +147,7 @@
 }
 
 func (ts *testServer) dial() (net.Conn, *bufio.Reader) {
-	c, err := net.Dial("tcp", ts.listener.Addr().String())
+	c, err := ts.dialer(context.Background(), "tcp", ts.listener.Addr().String())
 	if err != nil {
 		panic(err)
 	}
@@ -332,9 +368,9 @@
 // Guards against a call that lasts beyond the route's timeout, or is still executed
 // afterwards, and against an at-most-once call that is executed twice.
 func TestTimeoutsAndRetries(t *testing.T) {
-	Convey("an endpoint that does not respond in time", t, func() {
+	inBubble(t, "an endpoint that does not respond in time", func() {
 		cancelled := make(chan struct{})
-		ts := newTestServer(func(_ http.ResponseWriter, r *http.Request) {
+		ts := newBubbleServer(func(_ http.ResponseWriter, r *http.Request) {
 			<-r.Context().Done()
 			close(cancelled)
 		})
@@ -441,8 +477,8 @@
 			So(ts.waitForExchange("1").Reason, ShouldEqual, call.ReasonResponseTooLong)
 		})
 	}
-	Convey("a body without end is cut off at the deadline", t, func() {
-		ts := newTestServer(func(out http.ResponseWriter, r *http.Request) {
+	inBubble(t, "a body without end is cut off at the deadline", func() {
+		ts := newBubbleServer(func(out http.ResponseWriter, r *http.Request) {
 			var head strings.Builder
 			h := http.Header{}
 			platform.Headers{}.SetRequestID(h, requestID(r))
--- a/localendpoint/pool.go
+++ b/localendpoint/pool.go
@@ -46,14 +46,21 @@
 	address string
 	maxIdle int
 	clock   boottime.Clock
+	dial    DialFunc
 
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
 }
 
-func newPool(address string, maxIdle int, clock boottime.Clock) *pool {
-	return &pool{address: address, maxIdle: maxIdle, clock: clock}
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newPool(address string, maxIdle int, clock boottime.Clock, dial DialFunc) *pool {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &pool{address: address, maxIdle: maxIdle, clock: clock, dial: dial}
 }
 
 // get returns an idle connection or a new one. With recentOnly, an idle connection
@@ -67,8 +74,9 @@
 		}
 		_ = c.Close()
 	}
-	dialer := net.Dialer{Timeout: connectTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", p.address)
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	raw, err := p.dial(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -68,6 +68,10 @@
 // Registration holds the current incarnation of the endpoint. It is safe for
 // concurrent use.
 type Registration struct {
+	// Dial opens the connections to the endpoint; nil means net.Dialer. It must be set
+	// before the first announcement.
+	Dial DialFunc
+
 	clock boottime.Clock
 
 	mu       sync.Mutex
@@ -167,7 +171,7 @@
 func (r *Registration) newEndpoint(a Announcement) *Endpoint {
 	return &Endpoint{
 		Announcement: a, ColdUntil: r.clock() + a.ColdRemaining,
-		Queue: slotqueue.New(a.Slots), Health: NewHealth(r.clock), pool: newPool(a.Address, a.Slots, r.clock),
+		Queue: slotqueue.New(a.Slots), Health: NewHealth(r.clock), pool: newPool(a.Address, a.Slots, r.clock, r.Dial),
 	}
 }
 
