Run the test of late responses in fake time

What failed: TestLateResponse of package proxy, reported in 1 of 4 runs of the package with the process stopped for 0.45 s every 0.3 s: connect_failed in place of the expected outcome.

Cause: the test connects over loopback with the real dialTimeout of 300 ms. A process that is stopped during a connect times out, as the code promises.

Why the test is as strict: it runs in a bubble of testing/synctest over transport/faultnet with all checks unchanged.

--- a/proxy/faults_test.go
+++ b/proxy/faults_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumnotch.example/geraniumnotch/mesh"
+	"geraniumnotch.example/geraniumnotch/transport/faultnet"
 )
 
 // recordingEndpoint is an endpoint handler with fault injection. It records the
@@ -236,9 +237,9 @@
 // Guards against a late response that is relayed to the next call on the same
 // connection.
 func TestLateResponse(t *testing.T) {
-	Convey("A response after the deadline is not sent to any caller", t, func() {
+	inBubble(t, "A response after the deadline is not sent to any caller", func(t *testing.T) {
 		release := make(chan struct{})
-		m := newTestMesh(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		m := newTestMeshOn(faultnet.New(), t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/hurried" {
 				<-release
 			}
