Wait for the state instead of 50 ms in the test of a request being read

What failed: TestDrainWaitsForRequestBeingRead of package ingress waits 50 ms for the server to have read the first bytes of a request. A server that is slower than that has an idle connection, which it may close.

Why the test is as strict: it runs in a bubble of testing/synctest over transport/faultnet, where synctest.Wait returns when the server waits for the rest of the request. All checks are unchanged. On a scratch copy in which a request being read does not mark its connection, the test fails.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -38,6 +38,7 @@
 	backend         *http.Server
 	backendListener net.Listener
 	dialer          localendpoint.DialFunc
+	clock           boottime.Clock
 
 	finished chan ingress.Exchange
 }
@@ -110,32 +111,33 @@
 	// reach its deadline.
 	network.Delay(backend, dialing, time.Millisecond)
 	ts := &testServer{listener: listen(server), backendListener: listen(backend), dialer: network.Dialer(dialing)}
-	ts.start(func() boottime.Time { return time.Since(began) }, handler)
+	ts.clock = func() boottime.Time { return time.Since(began) }
+	ts.start(handler)
 	return ts
 }
 
 func newTestServer(handler http.HandlerFunc) *testServer {
-	ts := &testServer{listener: listen(), backendListener: listen(), dialer: (&net.Dialer{}).DialContext}
-	ts.start(boottime.Now, handler)
+	ts := &testServer{listener: listen(), backendListener: listen(), dialer: (&net.Dialer{}).DialContext, clock: boottime.Now}
+	ts.start(handler)
 	return ts
 }
 
-func (ts *testServer) start(clock boottime.Clock, handler http.HandlerFunc) {
+func (ts *testServer) start(handler http.HandlerFunc) {
 	ts.finished = make(chan ingress.Exchange, 100)
 	ts.backend = &http.Server{Handler: standin.EndpointHandler(func(out http.ResponseWriter, r *http.Request, _, _ string) { handler(out, r) })}
 	go func() { _ = ts.backend.Serve(ts.backendListener) }() // Ends in close.
 	identity := localendpoint.Identity{Service: "s", Address: ts.backendListener.Addr().String(), FailureDomain: "d"}
-	registration := localendpoint.NewRegistration(identity, clock, func(*localendpoint.Endpoint) {})
+	registration := localendpoint.NewRegistration(identity, ts.clock, func(*localendpoint.Endpoint) {})
 	registration.Dial = ts.dialer
 	registration.Announce(localendpoint.Announcement{ID: "a", Service: "s", Address: identity.Address, FailureDomain: "d", Slots: 4, StartedAtMs: 1, Sequence: 1})
-	gate := localendpoint.NewGate(registration, platform.Headers{}, clock, ts)
-	directory := peers.New(peers.Config{Self: peers.Record{Host: "host", Address: "127.0.0.1:1"}, Clock: clock, Local: gate})
+	gate := localendpoint.NewGate(registration, platform.Headers{}, ts.clock, ts)
+	directory := peers.New(peers.Config{Self: peers.Record{Host: "host", Address: "127.0.0.1:1"}, Clock: ts.clock, Local: gate})
 	ts.server = ingress.New(ingress.Config{
-		Plan: &ts.plan, Headers: platform.Headers{}, Clock: clock, Observer: ts, RunningCalls: gate.RunningCalls,
+		Plan: &ts.plan, Headers: platform.Headers{}, Clock: ts.clock, Observer: ts, RunningCalls: gate.RunningCalls,
 		LocalService: func() mesh.ServiceName { return "s" },
 		Forwarder: &ingress.Forwarder{
-			Domain: "d", Peers: directory, LocalGate: gate, Registration: registration, Clock: clock,
-			RetryBudget: retrybudget.New(retrybudget.Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, clock, func() int { return 1 }),
+			Domain: "d", Peers: directory, LocalGate: gate, Registration: registration, Clock: ts.clock,
+			RetryBudget: retrybudget.New(retrybudget.Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, ts.clock, func() int { return 1 }),
 		},
 	})
 	go func() { _ = ts.server.Serve(ts.listener) }() // Ends in close.
@@ -545,8 +547,8 @@
 // Guards against a request that is lost at the end of the process, because the node
 // sees no pending request while the head is still being read.
 func TestDrainWaitsForRequestBeingRead(t *testing.T) {
-	Convey("the first bytes of a request have been read", t, func() {
-		ts := newTestServer(func(out http.ResponseWriter, _ *http.Request) {
+	inBubble(t, "the first bytes of a request have been read", func() {
+		ts := newBubbleServer(func(out http.ResponseWriter, _ *http.Request) {
 			_, _ = io.WriteString(out, "done") // The client checks the body.
 		})
 		defer ts.close()
@@ -556,9 +558,9 @@
 		request := get("1", "/read/1")
 		_, err := io.WriteString(c, request[:10])
 		So(err, ShouldBeNil)
-		now := boottime.Now()
+		synctest.Wait()
+		now := ts.clock()
 		ts.server.Drain(now, now+time.Minute)
-		time.Sleep(50 * time.Millisecond)
 		So(ts.server.Active(), ShouldEqual, 0)
 		So(ts.server.CloseIdle(), ShouldEqual, 1)
 		_, err = io.WriteString(c, request[10:])
