Run the tests of recovery from store faults in fake time

What failed: three tests of package hostnode bound the wall time until hosts are registered, or a plan is active, again: 2 s. With the test process stopped, TestHostsRegisterAgainAfterLeasesExpired took 2.75 s and TestHostsRegisterAgainAfterARestoreGaveOutTheirLeaseIDsAgain 3.01 to 3.02 s.

Cause: the time in which the process did not run counted against the bound, which is the users' target for hosts that run.

Why the tests are as strict: hosts, store and clock are in a bubble of testing/synctest over transport/faultnet; all checks and bounds are unchanged. For that a node takes its clock, listeners and dialer from one place, platform.OpenStoreWith takes a dialer, standin.NewOn a listener and boottime.WatchSuspensions a clock; the defaults are those of before.

--- a/boottime/boottime.go
+++ b/boottime/boottime.go
@@ -41,17 +41,17 @@
 // WatchSuspensions calls suspended with the length of each gap in which the process
 // did not run, until ctx ends. A gap means that the machine was suspended or the
 // process stopped for longer than MinSuspension.
-func WatchSuspensions(ctx context.Context, suspended func(gap time.Duration)) {
+func WatchSuspensions(ctx context.Context, clock Clock, suspended func(gap time.Duration)) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
-	last := Now()
+	last := clock()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		now := Now()
+		now := clock()
 		if gap := now - last - watchInterval; gap > MinSuspension {
 			suspended(gap)
 		}
--- a/boottime/boottime_test.go
+++ b/boottime/boottime_test.go
@@ -29,7 +29,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			boottime.WatchSuspensions(ctx, func(time.Duration) {})
+			boottime.WatchSuspensions(ctx, boottime.Now, func(time.Duration) {})
 		}()
 		time.Sleep(time.Second)
 		cancel()
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -13,20 +13,24 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/peers"
 	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/platform/standin"
 	"geraniumnotch.example/geraniumnotch/transport"
+	"geraniumnotch.example/geraniumnotch/transport/faultnet"
 )
 
 // fixture is a store with nodes and endpoints beside them, all on loopback.
 type fixture struct {
+	system
 	store *standin.Store
 	dir   string
 	hosts []*fixtureHost
@@ -63,13 +67,36 @@
 	return netip.AddrPortFrom(ip, uint16(firstPort+(pid&255)*usesPerHost+use)).String()
 }
 
-func newFixture(t *testing.T) *fixture { return &fixture{store: standin.New(), dir: t.TempDir()} }
+func newFixture(t *testing.T) *fixture {
+	return &fixture{system: system{clock: boottime.Now, openListener: net.Listen}, store: standin.New(), dir: t.TempDir()}
+}
+
+// newBubbleFixture is newFixture with an in-memory network and the clock of a synctest
+// bubble, so that times do not depend on the load of the machine.
+func newBubbleFixture(t *testing.T) *fixture {
+	network, began := faultnet.New(), time.Now()
+	l, err := network.Listen("127.0.0.1:1")
+	if err != nil {
+		panic(err)
+	}
+	return &fixture{store: standin.NewOn(l), dir: t.TempDir(), system: system{
+		clock:        func() boottime.Time { return time.Since(began) },
+		openListener: func(_, address string) (net.Listener, error) { return network.Listen(address) },
+		dial:         network.Dialer("127.0.0.2:1"),
+	}}
+}
+
+// inBubble runs a specification in a synctest bubble.
+func inBubble(t *testing.T, name string, specification func(t *testing.T)) {
+	synctest.Test(t, func(t *testing.T) { Convey(name, t, func() { specification(t) }) })
+}
 
 func (f *fixture) close() {
 	for _, h := range f.hosts {
 		if h.node != nil {
 			h.node.cancel()
 			h.node.closeListeners()
+			h.node.store.CloseIdleConnections()
 		}
 		_ = h.endpoint.Close()
 	}
@@ -83,7 +110,7 @@
 	for i, use := range []string{"endpoint", "calls", "peers", "ready", "announcements", "metrics"} {
 		h.address[use] = reservedAddress(number, i)
 	}
-	l, err := net.Listen("tcp", h.address["endpoint"])
+	l, err := f.openListener("tcp", h.address["endpoint"])
 	if err != nil {
 		panic(err)
 	}
@@ -117,7 +144,7 @@
 }
 
 func (h *fixtureHost) start() {
-	n, err := New(h.path(), hclog.NewNullLogger(), func() int64 { return 0 })
+	n, err := newNode(h.path(), hclog.NewNullLogger(), func() int64 { return 0 }, h.fixture.system)
 	if err != nil {
 		panic(err)
 	}
@@ -348,8 +375,8 @@
 // during an outage of the store, and against a burst of calls when it recovers. The
 // users' bound is two seconds after the recovery.
 func TestHostsRegisterAgainAfterLeasesExpired(t *testing.T) {
-	Convey("the leases expire while the store rejects calls", t, func() {
-		f := newFixture(t)
+	inBubble(t, "the leases expire while the store rejects calls", func(t *testing.T) {
+		f := newBubbleFixture(t)
 		defer f.close()
 		f.store.Write(platform.ConfigKey, standin.Config(1, "one"))
 		for _, name := range []string{"host-a", "host-b", "host-c"} {
@@ -419,8 +446,8 @@
 // was restored from a copy has given out its revision again.
 func TestPlanIsReadAfterARestoreGaveOutItsRevisionAgain(t *testing.T) {
 	for _, names := range [][]string{{"host-a"}, {"host-a", "host-b", "host-c"}} {
-		Convey(fmt.Sprintf("a newer version gets the revision of the one that was read before, %d hosts", len(names)), t, func() {
-			f := newFixture(t)
+		inBubble(t, fmt.Sprintf("a newer version gets the revision of the one that was read before, %d hosts", len(names)), func(t *testing.T) {
+			f := newBubbleFixture(t)
 			defer f.close()
 			f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
 			for _, name := range names {
@@ -453,8 +480,8 @@
 // Guards against a host whose record is lost in a restore of the store while another
 // owner gets its lease ID, so that its renewals succeed without the record.
 func TestHostsRegisterAgainAfterARestoreGaveOutTheirLeaseIDsAgain(t *testing.T) {
-	Convey("the store is restored from a copy older than two records, without a failed call", t, func() {
-		f := newFixture(t)
+	inBubble(t, "the store is restored from a copy older than two records, without a failed call", func(t *testing.T) {
+		f := newBubbleFixture(t)
 		defer f.close()
 		f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
 		recordCount := func() int { return len(f.store.Keys(hostsPrefix)) }
@@ -471,7 +498,8 @@
 			}
 			return recordCount() == 3
 		})
-		client := platform.OpenStore(f.store.Address())
+		client := platform.OpenStoreWith(f.store.Address(), f.dial)
+		defer client.CloseIdleConnections()
 		callsBefore := f.store.Calls("/")
 		f.store.Restore(saved)
 		restored := time.Now()
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -57,7 +57,8 @@
 	path     string
 	settings atomic.Pointer[Settings]
 	logger   hclog.Logger
-	started  time.Time
+	system
+	started time.Time
 
 	store        *platform.Store
 	plan         routeplan.ActivePlan
@@ -81,6 +82,19 @@
 // New assembles a node with the settings of the file at path. It starts nothing.
 // DroppedLines returns the number of log lines that were dropped.
 func New(path string, logger hclog.Logger, droppedLines func() int64) (*Node, error) {
+	return newNode(path, logger, droppedLines, system{clock: boottime.Now, openListener: net.Listen})
+}
+
+// system is what a node uses of its machine. Tests replace it.
+type system struct {
+	clock        boottime.Clock
+	openListener func(network, address string) (net.Listener, error)
+	// dial opens connections; nil means the default dialers.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+func newNode(path string, logger hclog.Logger, droppedLines func() int64, sys system) (*Node, error) {
+	clock := sys.clock
 	s, err := LoadSettings(path)
 	if err != nil {
 		return nil, err
@@ -89,15 +103,15 @@
 	if err != nil {
 		return nil, err
 	}
-	store := platform.OpenStore(s.StoreAddress)
+	store := platform.OpenStoreWith(s.StoreAddress, sys.dial)
 	observer, err := newObserver(logger, registry.Meter(), droppedLines, store.Calls)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{path: path, logger: logger, metrics: registry, started: time.Now(), store: store}
+	n := &Node{path: path, logger: logger, system: sys, metrics: registry, started: time.Now(), store: store}
 	n.settings.Store(s)
 	n.planKeeper = &planKeeper{
-		store: n.store, current: &n.plan, logger: logger, tracker: plansync.New(fmt.Sprint(s.Host, "/", n.started.UnixNano()), s.PlanDeadline),
+		clock: clock, store: n.store, current: &n.plan, logger: logger, tracker: plansync.New(fmt.Sprint(s.Host, "/", n.started.UnixNano()), s.PlanDeadline),
 		rank:             func() int { return n.directory.HostsAhead() },
 		askPeer:          func(host mesh.HostID, have uint64) error { return n.directory.RequestPlan(host, have) },
 		onActivated:      func(p *routeplan.Plan) { n.ingress.PlanChanged(p) },
@@ -105,14 +119,15 @@
 		onStoreRecovered: func() { n.registrar.signalStoreRecovered() },
 		monitor:          storeMonitor{logger: logger, use: "plan"},
 	}
-	n.registration = localendpoint.NewRegistration(s.Endpoint, boottime.Now, func(*localendpoint.Endpoint) { n.directory.ReportNow() })
-	gate := localendpoint.NewGate(n.registration, platform.Headers{}, boottime.Now, observer)
+	n.registration = localendpoint.NewRegistration(s.Endpoint, clock, func(*localendpoint.Endpoint) { n.directory.ReportNow() })
+	n.registration.Dial = localendpoint.DialFunc(sys.dial)
+	gate := localendpoint.NewGate(n.registration, platform.Headers{}, clock, observer)
 	record := peers.Record{Host: s.Host, Address: s.Listen.PeersAdvertised, FailureDomain: s.FailureDomain, Incarnation: n.started.UnixNano(), LinkMbps: s.LinkMbps}
 	n.directory = peers.New(peers.Config{
-		Self: record, Logger: logger, Clock: boottime.Now, Local: gate,
+		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate,
 		LocalStatus: n.statusReport, PlanDelta: n.planKeeper.deltaFrom, OnPlan: n.planKeeper.activateDelta,
 		OnPlanReport: func(from mesh.HostID, version uint64, read plansync.Stamp, storeEpoch uint64) {
-			n.planKeeper.tracker.RecordReport(from, version, read, storeEpoch, boottime.Now())
+			n.planKeeper.tracker.RecordReport(from, version, read, storeEpoch, n.clock())
 		},
 	})
 	n.registrar = &registrar{
@@ -120,10 +135,10 @@
 		storeRecovered: make(chan struct{}, 1), hostCount: n.directory.HostCount, monitor: storeMonitor{logger: logger, use: "hosts"},
 	}
 	n.ingress = ingress.New(ingress.Config{
-		Plan: &n.plan, Headers: platform.Headers{}, Clock: boottime.Now, Observer: observer,
+		Plan: &n.plan, Headers: platform.Headers{}, Clock: clock, Observer: observer,
 		Forwarder: &ingress.Forwarder{
-			Domain: s.FailureDomain, Peers: n.directory, LocalGate: gate, Registration: n.registration, Clock: boottime.Now,
-			RetryBudget: retrybudget.New(s.RetryBudget, boottime.Now, n.directory.HostCount),
+			Domain: s.FailureDomain, Peers: n.directory, LocalGate: gate, Registration: n.registration, Clock: clock,
+			RetryBudget: retrybudget.New(s.RetryBudget, clock, n.directory.HostCount),
 		},
 		LocalService: func() mesh.ServiceName { return n.settings.Load().Endpoint.Service },
 		RunningCalls: gate.RunningCalls,
@@ -136,7 +151,7 @@
 	read, epoch := n.planKeeper.tracker.LatestRead()
 	s := peers.Status{PlanVersion: n.planKeeper.activeVersion(), PlanRead: read, StoreEpoch: epoch, Draining: n.stopping.Load()}
 	if e := n.registration.Current(); e != nil && !e.Draining {
-		load, now := e.Queue.Load(), boottime.Now()
+		load, now := e.Queue.Load(), n.clock()
 		s.Endpoint = &peers.EndpointStatus{
 			ID: e.ID, Service: e.Service, Slots: e.Slots, Running: load.Running, Waiting: load.Waiting,
 			MeanServiceTime: e.Queue.MeanServiceTime(now), FailurePercent: int(100 * e.Health.FailureRatio()), Cold: e.ColdUntil > now,
@@ -191,14 +206,14 @@
 	go n.planKeeper.run(ctx)
 	go n.registrar.run(ctx)
 	go n.directory.Run(ctx)
-	go boottime.WatchSuspensions(ctx, n.onSuspended)
+	go boottime.WatchSuspensions(ctx, n.clock, n.onSuspended)
 	go n.watchSettings(ctx)
 	eventStarted.Log(n.logger, "host", s.Host, "failure_domain", s.FailureDomain, "service", s.Endpoint.Service, "endpoint_address", s.Endpoint.Address)
 	return nil
 }
 
 func (n *Node) listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := n.openListener("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "hostnode: listen on %s", address)
 	}
@@ -258,7 +273,7 @@
 	n.stopping.Store(true)
 	limit := n.settings.Load().Drain - drainReserve
 	abortAfter := limit - abortReserve
-	n.ingress.Drain(boottime.Now()+drainNotice, boottime.Now()+abortAfter)
+	n.ingress.Drain(n.clock()+drainNotice, n.clock()+abortAfter)
 	n.directory.ReportNow()
 	eventStopping.Log(n.logger, "calls", n.ingress.Active())
 	aborted := false
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -31,6 +31,7 @@
 // planKeeper activates the operator's versions, from its own reads of the store and
 // from peers. Package plansync decides when to read the store and when to ask a peer.
 type planKeeper struct {
+	clock   boottime.Clock
 	store   *platform.Store
 	current *routeplan.ActivePlan
 	logger  hclog.Logger
@@ -164,7 +165,7 @@
 			recoveries = n
 			k.onStoreRecovered()
 		}
-		switch action, host := k.tracker.Next(boottime.Now(), k.rank()); action {
+		switch action, host := k.tracker.Next(k.clock(), k.rank()); action {
 		case plansync.ReadStore:
 			k.read(ctx)
 		case plansync.AskPeer:
@@ -180,11 +181,11 @@
 func (k *planKeeper) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, planReadTimeout)
 	defer cancel()
-	began := boottime.Now()
+	began := k.clock()
 	item, changed, err := k.store.ReadIfChanged(ctx, platform.ConfigKey, k.lastRead)
 	k.monitor.observe(err)
 	if err != nil {
-		k.tracker.RecordFailedRead(boottime.Now())
+		k.tracker.RecordFailedRead(k.clock())
 		return
 	}
 	k.lastRead = item.Revision
@@ -193,11 +194,11 @@
 		k.activateItem(item)
 	}
 	if !exists && k.activeVersion() == 0 {
-		k.tracker.RecordNoPlan(boottime.Now())
+		k.tracker.RecordNoPlan(k.clock())
 		return
 	}
 	if !k.tracker.RecordRead(began, item.Revision.Epoch) {
-		k.tracker.RecordFailedRead(boottime.Now())
+		k.tracker.RecordFailedRead(k.clock())
 		return
 	}
 	k.onConfirmed()
