ingress: keep the responses before a truncated one

Callers that send further requests before the first is answered lost a complete response when an endpoint truncated the response behind it.

Cause: the node closed the connection at once after a truncated response. If a request of the client was unread, the kernel reset the connection and discarded the earlier responses that it had not yet sent.

TestTruncatedResponseDoesNotDiscardTheOneBefore failed before: 73 bytes of an error in place of 1,048,576.

The node now closes only its sending side and cancels the other calls.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -90,14 +90,18 @@
 	close(x.done)
 }
 
-// fail closes the connection after an incomplete response, so that the client does
-// not mistake it for a complete one or the next response for the rest of it.
+// fail ends the responses of the connection after an incomplete one, so that the client
+// does not mistake it for a complete one or the next response for the rest of it. The
+// client can still read the responses before it.
 func (x *exchange) fail() {
+	c := x.c
 	x.closeAfter = true
-	x.c.mu.Lock()
-	defer x.c.mu.Unlock()
-	x.c.failed = true
-	_ = x.c.conn.Close() // Nothing more is written.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed = true
+	c.closeWrite()
+	c.cancel(nil)                          // The other calls cannot get a response.
+	_ = c.conn.SetReadDeadline(time.Now()) // Unblocks readRequests.
 }
 
 // handleRequest starts the exchange of a request. It reports false when no further
