ingress: reject calls on connections accepted after Abort

A nested call on a new connection was executed in the last 300 ms of a stopping process, which then ended without a response to it.

Cause: Abort cancelled the connections that existed. Calls of clients on later ones are rejected because they outlast the drain, but nested calls are not checked against that.

TestCallsAfterAnAbortAreRejected failed before: expected 503, actual 200.

The server now also cancels the connections that it accepts after Abort.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -100,6 +100,8 @@
 	active                    atomic.Int64
 	mu                        sync.Mutex
 	conns                     map[*connection]struct{}
+	// aborted is set when the calls of all connections are rejected.
+	aborted bool
 }
 
 // New returns a server that serves no listener yet.
@@ -137,10 +139,11 @@
 }
 
 // Abort ends the calls in flight before the process ends. Each still gets a response: a
-// rejection if no endpoint has received the call.
+// rejection if no endpoint has received the call. Later calls are rejected.
 func (s *Server) Abort() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.aborted = true
 	for c := range s.conns {
 		c.cancel(call.ErrNodeStopping)
 	}
@@ -220,6 +223,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
+	if s.aborted {
+		c.cancel(call.ErrNodeStopping)
+	}
 	return c
 }
 
