--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/platform/standin"
 )
 
@@ -92,8 +93,8 @@
 		return
 	}
 	body, err := io.ReadAll(response.Body)
-	if err == nil && response.Header.Get("Request-Id") != call.id {
-		k.host.cluster.fail("%s at %s got the response of %q", call, k.host.name, response.Header.Get("Request-Id"))
+	if id := (platform.Headers{}).ReadResponse(response.StatusCode, response.Header).RequestID; err == nil && id != call.id {
+		k.host.cluster.fail("%s at %s got the response of %q", call, k.host.name, id)
 		err = errUnknownAnswer
 	}
 	if err != nil {
