--- a/ingress/server.go
+++ b/ingress/server.go
@@ -130,7 +130,8 @@
 // file descriptors.
 const acceptRetryDelay = 10 * time.Millisecond
 
-// Drain closes each connection after its next response. From rejectFrom on, calls
+// Drain reads no further request of a connection once it writes a response on it, and
+// closes the connection after the last response that is due. From rejectFrom on, calls
 // of clients that may last beyond the deadline are rejected.
 func (s *Server) Drain(rejectFrom, deadline boottime.Time) {
 	s.drainDeadline.Store(int64(deadline))
