transport, peers: keep calls in flight when two dials cross

Cause: after a restart two hosts may dial each other at the same time. Both keep the link of the host with the lower ID and closed the other one at once, although the peer had already sent calls on it. An idempotent call whose retry was rejected as well, or another call, then ended with link_lost.

The link that is not kept stays open for what was sent on it. New calls use the other one. It is closed with the closing handshake once neither side uses it, 2 s after the dials at the earliest, when the peer knows the other link, and 10 s at the latest.

--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -256,6 +256,13 @@
 	return len(m.incoming)
 }
 
+// IsIdle reports whether the link carries no call.
+func (m *Mux) IsIdle() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.outgoing) == 0 && len(m.incoming) == 0
+}
+
 // Handle handles a message from the link. It reports false for kinds that do not
 // belong to calls. It does not block.
 func (m *Mux) Handle(msg transport.Message) (bool, error) {
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -128,7 +128,7 @@
 	d.manager = transport.NewManager(transport.Config{
 		Self: config.Self.Host, Logger: config.Logger, Dial: config.Dial, QueueLength: linkQueueFrames,
 		HandshakesPerSecond: handshakesPerSecond,
-		OnUp:                d.onLinkUp, OnDown: d.onLinkDown, OnMessage: d.onMessage,
+		OnUp:                d.onLinkUp, OnDown: d.onLinkDown, OnMessage: d.onMessage, IsIdle: d.isIdle,
 	})
 	return d
 }
--- a/peers/links.go
+++ b/peers/links.go
@@ -63,7 +63,8 @@
 	mux := callmux.NewMux(l, d.config.Local, d.config.Clock, d.bodyLimiter)
 	d.mu.Lock()
 	d.muxes[l] = mux
-	if p := d.peers[l.Peer()]; p != nil {
+	// Calls are sent on the link that both hosts keep.
+	if p := d.peers[l.Peer()]; p != nil && d.manager.Link(l.Peer()) == l {
 		p.mux.Store(mux)
 		p.lastUp = time.Now()
 	}
@@ -74,6 +75,14 @@
 	eventPeerUp.Log(d.config.Logger, "host", l.Peer())
 }
 
+// isIdle reports whether a link carries no call.
+func (d *Directory) isIdle(l *transport.Link) bool {
+	d.mu.Lock()
+	mux := d.muxes[l]
+	d.mu.Unlock()
+	return mux == nil || mux.IsIdle()
+}
+
 func (d *Directory) onLinkDown(l *transport.Link, err error) {
 	d.mu.Lock()
 	mux := d.muxes[l]
--- a/transport/manager.go
+++ b/transport/manager.go
@@ -32,6 +32,11 @@
 	// crossedDialWindow is the time within which a second link between two hosts,
 	// dialed from the other side, counts as a crossed dial and not as a reconnect.
 	crossedDialWindow = 2 * time.Second
+	// maxSupersededTime limits how long a link stays open after the link of a crossed
+	// dial has taken its place.
+	maxSupersededTime = 10 * time.Second
+	// idlePollInterval is the interval at which such a link is checked for exchanges.
+	idlePollInterval = 50 * time.Millisecond
 	// maxHandshakeBytes limits the head of a handshake response. The address may have been
 	// assigned to another program since.
 	maxHandshakeBytes = 16 << 10
@@ -65,6 +70,10 @@
 	OnUp      func(*Link)
 	OnDown    func(*Link, error)
 	OnMessage func(*Link, Message)
+	// IsIdle reports whether a link carries no exchange, such as a call. When two dials
+	// cross, the link that is not kept stays open until it is idle. Nil means that every
+	// link is idle.
+	IsIdle func(*Link) bool
 }
 
 // Manager owns the links of a node: at most one per peer.
@@ -75,8 +84,10 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 
-	mu           sync.Mutex
-	links        map[mesh.HostID]*Link
+	mu    sync.Mutex
+	links map[mesh.HostID]*Link
+	// superseded holds the open links that the link of a crossed dial has replaced.
+	superseded   map[*Link]bool
 	closed       bool
 	runningLinks sync.WaitGroup
 }
@@ -96,7 +107,7 @@
 	m := &Manager{
 		config:  c,
 		limiter: rate.NewLimiter(rate.Limit(c.HandshakesPerSecond), burst),
-		links:   map[mesh.HostID]*Link{},
+		links:   map[mesh.HostID]*Link{}, superseded: map[*Link]bool{},
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.client = &http.Client{Transport: &http.Transport{
@@ -217,10 +228,10 @@
 	m.run(link)
 }
 
-// register makes link the only link to its peer and closes the one before it. It
-// reports false when the existing link stays or the manager is closed. When two
-// dials cross, both sides keep the same link: the one that the host with the
-// lower ID dialed.
+// register makes link the link to its peer and closes the one before it. When two dials
+// cross, both sides keep the same link: the one that the host with the lower ID dialed;
+// the other one is closed once it is idle. register reports false when link must be
+// closed now.
 func (m *Manager) register(link *Link) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -228,21 +239,48 @@
 		return false
 	}
 	old := m.links[link.peer]
-	if old != nil {
-		crossed := old.dialed != link.dialed && link.opened.Sub(old.opened) < crossedDialWindow
-		lower := m.config.Self < link.peer
-		if crossed && old.dialed == lower {
+	crossed := old != nil && old.dialed != link.dialed && link.opened.Sub(old.opened) < crossedDialWindow
+	if lower := m.config.Self < link.peer; crossed && old.dialed == lower {
+		if m.config.IsIdle == nil {
 			return false
 		}
+		// The peer may have sent on this link before it learned of the other one.
+		m.runningLinks.Add(1)
+		m.supersede(link)
+		return true
 	}
 	m.links[link.peer] = link
 	m.runningLinks.Add(1)
-	if old != nil {
+	switch {
+	case crossed && m.config.IsIdle != nil:
+		m.supersede(old)
+	case old != nil:
 		old.Close()
 	}
 	return true
 }
 
+// supersede closes a link of a crossed dial that is not kept, once neither side uses it.
+// The caller holds the lock.
+func (m *Manager) supersede(link *Link) {
+	m.superseded[link] = true
+	go func() {
+		end := time.Now().Add(maxSupersededTime)
+		// After this time the peer has registered the other link.
+		for pause := crossedDialWindow; time.Now().Before(end); pause = idlePollInterval {
+			select {
+			case <-link.Closed():
+				return
+			case <-time.After(pause):
+			}
+			if m.config.IsIdle(link) {
+				break
+			}
+		}
+		link.closeWithHandshake()
+	}()
+}
+
 // run serves a registered link until it ends.
 func (m *Manager) run(link *Link) {
 	defer m.runningLinks.Done()
@@ -260,6 +298,7 @@
 func (m *Manager) unregister(link *Link) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delete(m.superseded, link)
 	if m.links[link.peer] == link {
 		delete(m.links, link.peer)
 	}
@@ -271,7 +310,7 @@
 func (m *Manager) Shutdown(ctx context.Context) {
 	m.mu.Lock()
 	m.closed = true
-	links := lo.Values(m.links)
+	links := append(lo.Values(m.links), lo.Keys(m.superseded)...)
 	m.mu.Unlock()
 	m.cancel()
 	for _, l := range links {
@@ -293,7 +332,7 @@
 func (m *Manager) Close() {
 	m.mu.Lock()
 	m.closed = true
-	links := lo.Values(m.links)
+	links := append(lo.Values(m.links), lo.Keys(m.superseded)...)
 	m.mu.Unlock()
 	m.cancel()
 	for _, l := range links {
