ingress: reject the calls that wait for a slot before running ones end

Callers of a stopping node got 502 for calls that no endpoint need have received: Abort ended the connections one after another, and the slot of an ended call went to a waiting one, whose connection was ended next, after the endpoint had begun to execute it. The order of the connections is random.

Abort now stops the forwarder first: no attempt begins any more, and the queue of the local endpoint rejects the calls that wait in it. A slot that an ended call returns finds nobody waiting. The calls of peers in that queue were rejected right after Abort before; hostnode leaves that to Abort now.

A call that waits at another host may still get the slot of one that this node has ended there. It is answered 502, as it may have been executed.

--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -330,7 +330,6 @@
 func (n *Node) abortCalls() {
 	eventCallsAborted.Log(n.logger, "calls", n.ingress.Active(), "endpoint_calls", n.endpointCalls())
 	n.ingress.Abort()
-	n.registration.RejectWaiting()
 }
 
 // closeListeners closes the listeners and the servers.
--- a/ingress/abort_test.go
+++ b/ingress/abort_test.go
@@ -55,6 +55,50 @@
 	}
 }
 
+// Guards against a waiting call that gets the slot of an ended one, is executed and ended.
+func TestWaitingCallsAreNotExecutedAfterAnAbort(t *testing.T) {
+	for range 20 { // The connections are ended in random order.
+		Convey("four calls are executed and others wait for a slot", t, func() {
+			const executed, waiting = 4, 60
+			started := make(chan struct{}, executed+waiting)
+			ts := newTestServer(func(_ http.ResponseWriter, r *http.Request) {
+				started <- struct{}{}
+				<-r.Context().Done()
+			})
+			defer ts.close()
+			ts.plan.Activate(testPlan(1))
+			statuses := make(chan int, executed+waiting)
+			send := func(id int) {
+				c, r := ts.dial()
+				_, err := io.WriteString(c, get(strconv.Itoa(id), "/order/"+strconv.Itoa(id)))
+				So(err, ShouldBeNil)
+				go func() {
+					defer func() { _ = c.Close() }()
+					status, _, _ := readResponse(r)
+					statuses <- status
+				}()
+			}
+			for i := range executed {
+				send(i)
+				<-started
+			}
+			for i := range waiting {
+				send(executed + i)
+			}
+			for ts.registration.Current().Queue.Load().Waiting < waiting {
+				runtime.Gosched()
+			}
+			ts.server.Abort()
+			counts := map[int]int{}
+			for range executed + waiting {
+				counts[<-statuses]++
+			}
+			So(counts, ShouldResemble, map[int]int{502: executed, 503: waiting})
+			So(len(started), ShouldEqual, 0)
+		})
+	}
+}
+
 // Guards against a call on a connection that is accepted after the calls in flight were
 // ended, which would be executed while the process ends.
 func TestCallsAfterAnAbortAreRejected(t *testing.T) {
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
@@ -40,6 +41,15 @@
 	Registration *localendpoint.Registration
 	RetryBudget  *retrybudget.Budget
 	Clock        boottime.Clock
+
+	stopped atomic.Bool
+}
+
+// stop ends the attempts of all calls: none begins any more, and those that wait for the
+// local endpoint are rejected.
+func (f *Forwarder) stop() {
+	f.stopped.Store(true)
+	f.Registration.RejectWaiting()
 }
 
 // destination is a host and the runner that sends calls to its endpoint.
@@ -97,6 +107,10 @@
 	if ctx.Err() != nil {
 		return call.Result{Outcome: call.Expired, Reason: call.ReasonCancelled}, false
 	}
+	if s.forwarder.stopped.Load() {
+		s.rejected = call.Result{Outcome: call.Rejected, Reason: call.ReasonNodeStopping, RetryAfter: drainRetryAfter}
+		return s.exhaustedResult(), false
+	}
 	now := s.forwarder.Clock()
 	s.c.Remaining, s.c.TargetRemaining = s.deadline-now, s.targetBy-now
 	next, found := s.chooseDestination()
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -39,6 +39,7 @@
 	backendListener net.Listener
 	dialer          localendpoint.DialFunc
 	clock           boottime.Clock
+	registration    *localendpoint.Registration
 
 	finished chan ingress.Exchange
 }
@@ -127,16 +128,16 @@
 	ts.backend = &http.Server{Handler: standin.EndpointHandler(func(out http.ResponseWriter, r *http.Request, _, _ string) { handler(out, r) })}
 	go func() { _ = ts.backend.Serve(ts.backendListener) }() // Ends in close.
 	identity := localendpoint.Identity{Service: "s", Address: ts.backendListener.Addr().String(), FailureDomain: "d"}
-	registration := localendpoint.NewRegistration(identity, ts.clock, func(*localendpoint.Endpoint) {})
-	registration.Dial = ts.dialer
-	registration.Announce(localendpoint.Announcement{ID: "a", Service: "s", Address: identity.Address, FailureDomain: "d", Slots: 4, StartedAtMs: 1, Sequence: 1})
-	gate := localendpoint.NewGate(registration, platform.Headers{}, ts.clock, ts)
+	ts.registration = localendpoint.NewRegistration(identity, ts.clock, func(*localendpoint.Endpoint) {})
+	ts.registration.Dial = ts.dialer
+	ts.registration.Announce(localendpoint.Announcement{ID: "a", Service: "s", Address: identity.Address, FailureDomain: "d", Slots: 4, StartedAtMs: 1, Sequence: 1})
+	gate := localendpoint.NewGate(ts.registration, platform.Headers{}, ts.clock, ts)
 	directory := peers.New(peers.Config{Self: peers.Record{Host: "host", Address: "127.0.0.1:1"}, Clock: ts.clock, Local: gate})
 	ts.server = ingress.New(ingress.Config{
 		Plan: &ts.plan, Headers: platform.Headers{}, Clock: ts.clock, Observer: ts, RunningCalls: gate.RunningCalls,
 		LocalService: func() mesh.ServiceName { return "s" },
 		Forwarder: &ingress.Forwarder{
-			Domain: "d", Peers: directory, LocalGate: gate, Registration: registration, Clock: ts.clock,
+			Domain: "d", Peers: directory, LocalGate: gate, Registration: ts.registration, Clock: ts.clock,
 			RetryBudget: retrybudget.New(retrybudget.Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, ts.clock, func() int { return 1 }),
 		},
 	})
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -142,6 +142,8 @@
 // Abort ends the calls in flight before the process ends. Each still gets a response: a
 // rejection if no endpoint has received the call. Later calls are rejected.
 func (s *Server) Abort() {
+	// Waiting calls are rejected first, or they would get the slots of the running ones.
+	s.config.Forwarder.stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.aborted = true
