ingress: read a request that has arrived before its connection closes

Callers of a stopping node saw kept connections end without a response up to 0.4 s after they had sent a request. The node took a connection for idle while the request was in the socket's buffer: its reader had not run yet, and after the read deadline that ends it, a read fails even if bytes have arrived.

An idle connection is closed in two steps: a connection whose socket is readable is not idle, and its reader looks at the socket once more before it closes the connection. This holds for the end of the idle timeout too. A part of the next request that has been read already counts as a request being read.

--- a/ingress/pipeline_test.go
+++ b/ingress/pipeline_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"runtime"
 	"strconv"
 	"sync"
 	"testing"
@@ -188,3 +189,32 @@
 		So(err, ShouldEqual, io.ErrUnexpectedEOF)
 	})
 }
+
+// Guards against a request that is lost because its connection is closed as idle after the
+// request has arrived and before the server has begun to read it.
+func TestRequestThatHasArrivedIsReadBeforeTheConnectionCloses(t *testing.T) {
+	Convey("a server without calls closes idle connections as requests arrive", t, func() {
+		ts := newTestServer(func(out http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(out, r.URL.Path) // The client checks the body.
+		})
+		defer ts.close()
+		ts.plan.Activate(testPlan(1))
+		for i := range 90 { // Whether the server has begun to read is up to the scheduler.
+			c, r := ts.dial()
+			for ts.server.Connections() == 0 {
+				runtime.Gosched()
+			}
+			path := "/order/" + strconv.Itoa(i)
+			_, err := io.WriteString(c, get(strconv.Itoa(i), path))
+			So(err, ShouldBeNil)
+			ts.server.CloseIdle()
+			status, body, _ := readResponse(r)
+			So(status, ShouldEqual, 200)
+			So(body, ShouldEqual, path)
+			So(c.Close(), ShouldBeNil)
+			for ts.server.Connections() != 0 {
+				runtime.Gosched()
+			}
+		}
+	})
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
 	"geraniumnotch.example/geraniumnotch/internal/readlimit"
+	"geraniumnotch.example/geraniumnotch/internal/sockpoll"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/routeplan"
@@ -221,6 +223,9 @@
 const (
 	// stateIdle means that nothing of the next request has been read.
 	stateIdle connectionState = iota
+	// stateClosing means that the connection is to be closed unless a request has
+	// arrived on it.
+	stateClosing
 	// stateReading means that a request is being read.
 	stateReading
 	// stateClosed means that no further request will be read.
@@ -314,16 +319,22 @@
 	}
 }
 
-// awaitRequest makes the connection idle. It reports false when no further request
-// is read.
+// awaitRequest makes the connection idle, unless a part of the next request has been
+// read. It reports false when no further request is read.
 func (c *connection) awaitRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == stateClosed || c.failed {
 		return false
 	}
-	c.state = stateIdle
-	c.setIdleDeadline()
+	if c.r.Buffered() > 0 {
+		c.state = stateReading
+		return true
+	}
+	if c.state != stateClosing {
+		c.state = stateIdle
+		c.setIdleDeadline()
+	}
 	return true
 }
 
@@ -337,18 +348,39 @@
 	_ = c.conn.SetReadDeadline(deadline) // The next read returns the error.
 }
 
-// waitForRequest waits for the first byte of a request.
+// waitForRequest waits for the first byte of a request. It reports false when the
+// connection ends.
 func (c *connection) waitForRequest(limits routeplan.Limits) bool {
 	c.limited.SetLimit(limits.HeaderBytes)
-	_, err := c.r.Peek(1)
-	return err == nil
+	for {
+		_, err := c.r.Peek(1)
+		if err == nil {
+			return true
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.resumeIfReadable(limits) {
+			return false
+		}
+	}
+}
+
+// resumeIfReadable resumes reading at the end of the idle time if a request has arrived
+// that could not be read in time, and reports whether one has.
+func (c *connection) resumeIfReadable(limits routeplan.Limits) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == stateClosed || c.failed || !sockpoll.Readable(c.conn) {
+		return false
+	}
+	c.state = stateIdle
+	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // The next read returns the error.
+	return true
 }
 
 // beginReading reports whether the request whose first byte has arrived may be read.
 func (c *connection) beginReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != stateIdle {
+	if c.state == stateClosed {
 		return false
 	}
 	c.state = stateReading
@@ -375,10 +407,11 @@
 func (c *connection) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 && c.state == stateIdle {
-		c.stopReadingLocked()
+	if c.pending == 0 && c.state == stateIdle && !sockpoll.Readable(c.conn) {
+		c.state = stateClosing
+		_ = c.conn.SetReadDeadline(time.Now()) // Unblocks readRequests.
 	}
-	return c.pending == 0 && c.state == stateClosed
+	return c.pending == 0 && (c.state == stateClosing || c.state == stateClosed)
 }
 
 // pendingCount returns the number of requests without a complete response.
