hostnode: keep the listener open while connections wait to be accepted

Callers of a stopping node could get a reset for a request on a new connection: closing the listener resets the connections that the kernel has completed and the process has not accepted yet. A node that gets little processor time leaves them there for a while.

A node is not drained while its listener is readable. The limit of the drain time holds as before.

--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -17,6 +17,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/ingress"
+	"geraniumnotch.example/geraniumnotch/internal/sockpoll"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/metrics"
@@ -310,7 +311,8 @@
 // closeIfDrained closes the listener for calls if no call is in flight. It reports true
 // when the last connection of a client has ended after that.
 func (n *Node) closeIfDrained() bool {
-	if n.ingress.CloseIdle() != 0 || n.servesPeers() {
+	// Closing the listener would reset the connections that wait to be accepted.
+	if n.ingress.CloseIdle() != 0 || n.servesPeers() || sockpoll.Readable(n.calls) {
 		return false
 	}
 	_ = n.calls.Close() // It may be closed already.
