transport, peers: check replaced links for silence like the others

Callers waited up to 15 s for a call to a host that had been lost, and idempotent calls had no time left for a retry at another host.

Cause: the link that a crossed dial replaces stays open for the calls on it, but only the kept link was checked for silence and got status reports. If the network to the host failed, or a write to it blocked, nothing closed the replaced link before its limit of 10 s and the timeout of the closing handshake.

All open links now get status reports and are checked for silence, and are closed when the machine was suspended. Closing a link does not wait any more for a closing handshake on it, which would delay the check of the other links.

--- a/peers/directory.go
+++ b/peers/directory.go
@@ -202,13 +202,14 @@
 // Reset closes all links, because they may have been lost without notice while the
 // machine was suspended.
 func (d *Directory) Reset() {
-	for _, l := range d.manager.Links() {
+	for _, l := range d.manager.OpenLinks() {
 		l.Close()
 	}
 }
 
 func (d *Directory) sendStatus() {
-	links := d.manager.Links()
+	// A link that another one has replaced may carry calls, and is checked like the others.
+	links := d.manager.OpenLinks()
 	if len(links) == 0 {
 		return
 	}
--- a/peers/links.go
+++ b/peers/links.go
@@ -12,14 +12,14 @@
 // checkLinks closes the links on which nothing was received for linkTimeout, and
 // marks the peers whose status report is overdue as stale.
 func (d *Directory) checkLinks(now time.Time) {
-	for _, l := range d.manager.Links() {
+	for _, l := range d.manager.OpenLinks() {
 		sinceReceived := now.Sub(l.LastReceived())
 		if sinceReceived > linkTimeout {
 			l.Close()
 			continue
 		}
 		d.mu.Lock()
-		if p := d.peers[l.Peer()]; p != nil {
+		if p := d.peers[l.Peer()]; p != nil && d.manager.Link(l.Peer()) == l {
 			p.stale.Store(sinceReceived > staleAfter)
 		}
 		d.mu.Unlock()
--- /dev/null
+++ b/peers/replaced_test.go
@@ -0,0 +1,47 @@
+package peers_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"geraniumnotch.example/geraniumnotch/call"
+)
+
+// crossDials makes b dial a and, once a call of a has started at b, a dial b. It returns the
+// result of the call, which stays on the link that b dialed.
+func crossDials(a, b *host, started <-chan struct{}) <-chan call.Result {
+	_, err := b.Manager().Dial(context.Background(), a.record.Address)
+	So(err, ShouldBeNil)
+	a.waitForPeers(1)
+	former := a.Manager().Link("b")
+	result := make(chan call.Result, 1)
+	go func() { result <- a.ByService("s")[0].Run(context.Background(), newCall(nil)) }()
+	<-started
+	_, err = a.Manager().Dial(context.Background(), b.record.Address)
+	So(err, ShouldBeNil)
+	waitFor(func() bool { return a.Manager().Link("b") != former && b.Manager().Link("a").Dialed() == false })
+	return result
+}
+
+// Guards against calls that wait for a lost host longer on the replaced link of a crossed
+// dial than on other links.
+func TestReplacedLinkOfALostHostIsClosed(t *testing.T) {
+	inBubble(t, "the network between two hosts fails after their dials crossed", func(_ C, n *testNetwork) {
+		started := make(chan struct{})
+		a, b := n.newHost("a", 1, echo), n.newHost("b", 2, func(ctx context.Context, _ *call.Call) call.Result {
+			close(started)
+			<-ctx.Done()
+			return call.Result{Outcome: call.Expired, Sent: true}
+		})
+		defer a.close()
+		defer b.close()
+		result := crossDials(a, b, started)
+		n.CutBoth(a.record.Address, b.record.Address)
+		cut := time.Now()
+		So((<-result).Outcome, ShouldEqual, call.Broken)
+		So(time.Since(cut), ShouldBeLessThan, 2*time.Second)
+	})
+}
--- a/transport/link.go
+++ b/transport/link.go
@@ -38,6 +38,8 @@
 
 	closeOnce sync.Once
 	closed    chan struct{}
+	// closing is set by the one that closes conn.
+	closing atomic.Bool
 
 	lastReceived atomic.Int64
 	lastSent     atomic.Int64
@@ -133,11 +135,14 @@
 // Closed returns a channel that is closed when the link has ended.
 func (l *Link) Closed() <-chan struct{} { return l.closed }
 
-// Close ends the link immediately and drops the queued frames.
+// Close ends the link immediately and drops the queued frames. It does not wait for a
+// closing handshake that has begun.
 func (l *Link) Close() {
 	l.closeOnce.Do(func() {
 		close(l.closed)
-		_ = l.conn.CloseNow()
+		if !l.closing.Swap(true) {
+			_ = l.conn.CloseNow()
+		}
 	})
 }
 
@@ -182,7 +187,7 @@
 		defer o.done()
 	}
 	if o.closeLink {
-		if o.handshake {
+		if o.handshake && !l.closing.Swap(true) {
 			_ = l.conn.Close(websocket.StatusGoingAway, "") // The link ends in either case.
 		}
 		return false
--- a/transport/manager.go
+++ b/transport/manager.go
@@ -140,6 +140,16 @@
 	return lo.Values(m.links)
 }
 
+// OpenLinks returns all links, and those that the link of a crossed dial has replaced.
+func (m *Manager) OpenLinks() []*Link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.openLinks()
+}
+
+// openLinks is OpenLinks for a caller that holds the lock.
+func (m *Manager) openLinks() []*Link { return append(lo.Values(m.links), lo.Keys(m.superseded)...) }
+
 // Dial opens a link to the node at address and returns its host. When the peer
 // dials at the same time and its link stays, Dial closes its own connection and
 // returns no error. Otherwise an older link to the same host is replaced.
@@ -310,7 +320,7 @@
 func (m *Manager) Shutdown(ctx context.Context) {
 	m.mu.Lock()
 	m.closed = true
-	links := append(lo.Values(m.links), lo.Keys(m.superseded)...)
+	links := m.openLinks()
 	m.mu.Unlock()
 	m.cancel()
 	for _, l := range links {
@@ -332,7 +342,7 @@
 func (m *Manager) Close() {
 	m.mu.Lock()
 	m.closed = true
-	links := append(lo.Values(m.links), lo.Keys(m.superseded)...)
+	links := m.openLinks()
 	m.mu.Unlock()
 	m.cancel()
 	for _, l := range links {
