transport: keep a replaced link until its calls have ended

Callers got 502 for a call that an endpoint was executing, 10 s after two dials had crossed.

Cause: the link that a crossed dial replaces was closed after 10 s in any case. A route may have a longer timeout.

TestReplacedLinkOutlastsItsCalls failed before: a call of 30 s ended with outcome 3 (broken) in place of 1.

The link is now closed only once it carries no call. Calls end by their own deadlines, and a link whose peer is lost is closed by the check for silence.

--- a/peers/replaced_test.go
+++ b/peers/replaced_test.go
@@ -45,3 +45,24 @@
 		So(time.Since(cut), ShouldBeLessThan, 2*time.Second)
 	})
 }
+
+// Guards against a replaced link that is closed while a call on it lasts.
+func TestReplacedLinkOutlastsItsCalls(t *testing.T) {
+	inBubble(t, "a call lasts longer than the replaced links of other crossed dials", func(_ C, n *testNetwork) {
+		started := make(chan struct{})
+		a, b := n.newHost("a", 1, echo), n.newHost("b", 2, func(ctx context.Context, c *call.Call) call.Result {
+			close(started)
+			select {
+			case <-ctx.Done():
+				return call.Result{Outcome: call.Expired, Sent: true}
+			case <-time.After(30 * time.Second):
+				return echo(ctx, c)
+			}
+		})
+		defer a.close()
+		defer b.close()
+		So((<-crossDials(a, b, started)).Outcome, ShouldEqual, call.Answered)
+		waitFor(func() bool { return len(a.Manager().OpenLinks()) == 1 && len(b.Manager().OpenLinks()) == 1 })
+		So(a.ByService("s"), ShouldHaveLength, 1)
+	})
+}
--- a/transport/manager.go
+++ b/transport/manager.go
@@ -32,10 +32,8 @@
 	// crossedDialWindow is the time within which a second link between two hosts,
 	// dialed from the other side, counts as a crossed dial and not as a reconnect.
 	crossedDialWindow = 2 * time.Second
-	// maxSupersededTime limits how long a link stays open after the link of a crossed
-	// dial has taken its place.
-	maxSupersededTime = 10 * time.Second
-	// idlePollInterval is the interval at which such a link is checked for exchanges.
+	// idlePollInterval is the interval at which a link that the link of a crossed dial has
+	// replaced is checked for exchanges.
 	idlePollInterval = 50 * time.Millisecond
 	// maxHandshakeBytes limits the head of a handshake response. The address may have been
 	// assigned to another program since.
@@ -275,19 +273,20 @@
 func (m *Manager) supersede(link *Link) {
 	m.superseded[link] = true
 	go func() {
-		end := time.Now().Add(maxSupersededTime)
 		// After this time the peer has registered the other link.
-		for pause := crossedDialWindow; time.Now().Before(end); pause = idlePollInterval {
+		pause := time.After(crossedDialWindow)
+		for {
 			select {
 			case <-link.Closed():
 				return
-			case <-time.After(pause):
+			case <-pause:
 			}
 			if m.config.IsIdle(link) {
-				break
+				link.closeWithHandshake()
+				return
 			}
+			pause = time.After(idlePollInterval)
 		}
-		link.closeWithHandshake()
 	}()
 }
 
