peers: keep a link whose queue is full while the peer reads

Callers got 502 for all calls between two hosts when many responses crossed a slow network link at the same time.

Cause: a status report that found the send queue of 128 frames full closed the link, because the peer was taken not to read. Streamed responses fill the queue too: a body may have 64 KiB unread in frames of 16 KiB, so that 32 of them are enough.

The report is now dropped, and the link is closed only if no frame has been written for 1.5 s, the time after which a silent link is closed too.

--- a/peers/directory.go
+++ b/peers/directory.go
@@ -219,8 +219,10 @@
 		return
 	}
 	for _, l := range links {
-		if err := l.SendFrame(transport.KindHostStatus, frame, nil); err != nil {
-			l.Close() // The queue is full because the peer does not read.
+		// Calls can fill the queue of a slow link: other frames then show the peer that this
+		// host is reachable. The link is closed only if the peer does not read.
+		if err := l.SendFrame(transport.KindHostStatus, frame, nil); err != nil && time.Since(l.LastSent()) > linkTimeout {
+			l.Close()
 		}
 	}
 }
