callmux, peers: count results as due until they are written

Callers at other hosts got 502, or a truncated response, for a call that an endpoint had executed while its node stopped, if the network link was slow.

Cause: a stopping node ends once no result waits to be queued. It then has 150 ms for the queued frames, also if most of its drain time is left. A response may have 64 KiB in the queue, which take 75 ms at 7 Mbit/s, and all links share that.

TestQueuedResultsAreServing failed before: a host that ended as soon as it served no call truncated a response of 200,000 bytes ("link lost").

A result now counts as due until its last frame is written to the connection, so that a stopping node waits for it until its drain limit. If a peer does not read, its link is closed after 1.5 s of silence.

--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -24,6 +24,8 @@
 	bodyLimiter *BodyLimiter
 
 	lastStream atomic.Uint64
+	// unwritten is the number of frames of results that wait in the queue of the link.
+	unwritten atomic.Int64
 
 	mu       sync.Mutex
 	closed   bool
@@ -72,7 +74,21 @@
 	if err != nil {
 		return err
 	}
-	return m.link.SendWait(kind, frame)
+	return m.link.SendWait(kind, frame, nil)
+}
+
+// sendResult is send for a frame of a result to the peer.
+func (m *Mux) sendResult(kind transport.Kind, body any) error {
+	frame, err := transport.EncodeFrame(kind, body)
+	if err != nil {
+		return err
+	}
+	m.unwritten.Add(1)
+	if err := m.link.SendWait(kind, frame, func() { m.unwritten.Add(-1) }); err != nil {
+		m.unwritten.Add(-1)
+		return err
+	}
+	return nil
 }
 
 // Run sends a call to the peer and waits for its result. When ctx ends, it cancels
@@ -249,11 +265,12 @@
 	}
 }
 
-// Serving returns the number of the peer's calls whose result has not been queued.
+// Serving returns the number of the peer's calls whose result has not been queued, and of
+// frames of results that have not been written.
 func (m *Mux) Serving() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.incoming)
+	return len(m.incoming) + int(m.unwritten.Load())
 }
 
 // IsIdle reports whether the link carries no call.
@@ -340,7 +357,7 @@
 	defer m.removeIncoming(stream, in)
 	r := m.local.Run(ctx, c)
 	if r.Outcome != call.Answered {
-		_ = m.send(transport.KindAttemptFailed, failedFrame{ // The peer detects a lost link itself.
+		_ = m.sendResult(transport.KindAttemptFailed, failedFrame{ // The peer detects a lost link itself.
 			Stream: stream, Outcome: r.Outcome, Reason: r.Reason, Sent: r.Sent, RetryAfter: r.RetryAfter, Load: r.Load,
 		})
 		return
@@ -351,11 +368,11 @@
 		Stream: stream, Status: a.Status, Header: flattenHeader(a.Header), BodyBytes: a.BodyBytes, Body: a.Body, More: a.Stream != nil,
 		Load: r.Load, NestedFailed: r.NestedFailed,
 	}
-	if err := m.send(transport.KindResponseHead, head); err != nil || a.Stream == nil {
+	if err := m.sendResult(transport.KindResponseHead, head); err != nil || a.Stream == nil {
 		return
 	}
 	copyBody(a.Stream, in.window, func(data []byte, end, broken bool) error {
-		return m.send(transport.KindResponseData, dataFrame{Stream: stream, Data: data, End: end, Broken: broken})
+		return m.sendResult(transport.KindResponseData, dataFrame{Stream: stream, Data: data, End: end, Broken: broken})
 	})
 }
 
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -321,8 +321,8 @@
 	return n.ingress.Connections() == 0 && !n.servesPeers()
 }
 
-// servesPeers reports whether a call is at the endpoint or its result is not yet queued
-// on the link to its host.
+// servesPeers reports whether a call is at the endpoint or its result is not yet written
+// to the link to its host.
 func (n *Node) servesPeers() bool { return n.endpointCalls() != 0 || n.directory.Serving() != 0 }
 
 // abortCalls ends the calls in flight. Those of peers that wait for the endpoint may
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -180,7 +180,8 @@
 	d.manager.Shutdown(ctx)
 }
 
-// Serving returns the number of calls of peers whose result has not been queued.
+// Serving returns the number of calls of peers whose result has not been queued, and of
+// frames of results that have not been written.
 func (d *Directory) Serving() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/peers/queue_test.go
+++ b/peers/queue_test.go
@@ -57,3 +57,33 @@
 		}
 	})
 }
+
+// Guards against a stopping host that ends while a result waits to be written to a slow
+// link.
+func TestQueuedResultsAreServing(t *testing.T) {
+	inBubble(t, "a host stops once it serves no call", func(_ C, n *testNetwork) {
+		const size = 200_000
+		started := make(chan struct{})
+		a, b := n.newHost("a", 1, echo), n.newHost("b", 2, func(context.Context, *call.Call) call.Result {
+			close(started)
+			body := io.NopCloser(bytes.NewReader(make([]byte, size)))
+			return call.Result{Outcome: call.Answered, Sent: true, Response: &call.Response{Status: 200, BodyBytes: size, Stream: body}}
+		})
+		defer a.close()
+		a.AddRecords(b.record)
+		a.waitForPeers(1)
+		n.Delay(b.record.Address, a.record.Address, 100*time.Millisecond)
+		go func() {
+			<-started
+			for b.Serving() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			b.close()
+		}()
+		outcome, length, err := runStreamed(a, 0)
+		So(err, ShouldBeNil)
+		So(outcome, ShouldEqual, call.Answered)
+		So(length, ShouldEqual, size)
+		<-b.ended
+	})
+}
--- a/transport/link.go
+++ b/transport/link.go
@@ -119,15 +119,15 @@
 
 // SendWait queues an encoded frame and waits while the queue is full. It returns
 // ErrClosed when the link ends first. A queued frame may still be lost when the
-// link ends later.
-func (l *Link) SendWait(kind Kind, frame []byte) error {
+// link ends later. If done is not nil, it is called as by SendFrame.
+func (l *Link) SendWait(kind Kind, frame []byte, done func()) error {
 	if isDirect(kind) {
 		l.lastUsed.Store(time.Now().UnixNano())
 	}
 	select {
 	case <-l.closed:
 		return ErrClosed
-	case l.queue <- outgoingFrame{kind: kind, frame: frame}:
+	case l.queue <- outgoingFrame{kind: kind, frame: frame, done: done}:
 		return nil
 	}
 }
--- a/transport/shutdown_test.go
+++ b/transport/shutdown_test.go
@@ -74,11 +74,11 @@
 		frame, err := EncodeFrame(KindPing, make([]byte, 50_000))
 		So(err, ShouldBeNil)
 		go func(l *Link) {
-			for l.SendWait(KindPing, frame) == nil {
+			for l.SendWait(KindPing, frame, nil) == nil {
 			}
 		}(<-up)
 		for range frames {
-			So(a.Link("b").SendWait(KindPing, frame), ShouldBeNil)
+			So(a.Link("b").SendWait(KindPing, frame, nil), ShouldBeNil)
 		}
 		a.Shutdown(context.Background())
 		<-down
