ingress: respond to a request whose long body fails

Callers that sent a body of over 1 MiB too slowly, or with a malformed chunk, got a closed connection and no response.

Cause: an error while such a body is forwarded ended the context of its call, which was taken for a client that has disconnected. Shorter bodies already got 408 or 400.

The error of the body now decides: 400 for a malformed one, 504 for one that is too slow, or 408 if no endpoint has received the call. Only a client that has disconnected gets no response.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -46,18 +46,24 @@
 // forwarded.
 func (x *exchange) rejectBody(err error) bool {
 	x.closeAfter = true
-	var timeout interface{ Timeout() bool }
-	switch {
-	case errors.As(err, &timeout) && timeout.Timeout():
-		x.writeFailure(http.StatusRequestTimeout, "body_too_slow", 0)
-	case x.c.isDisconnect(err):
+	if isDisconnect(err) {
 		x.finishCancelled()
-	default:
-		x.writeFailure(http.StatusBadRequest, "malformed_body", 0)
+		return false
 	}
+	f := newBodyFailure(err)
+	x.writeFailure(f.status, f.reason, 0)
 	return false
 }
 
+// newBodyFailure returns the failure for a body of which no endpoint received a part.
+func newBodyFailure(err error) *bodyFailure {
+	var timeout interface{ Timeout() bool }
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		return &bodyFailure{http.StatusRequestTimeout, "body_too_slow"}
+	}
+	return &bodyFailure{http.StatusBadRequest, "malformed_body"}
+}
+
 // streamBody forwards a long body while it arrives.
 func (x *exchange) streamBody(cl *call.Call, prefix []byte, rest io.Reader, maxBytes int64) bool {
 	ctx, cancel := context.WithCancel(x.c.ctx)
@@ -84,10 +90,16 @@
 	cancel   func()
 	once     sync.Once
 	received chan struct{}
-	// remaining is the number of bytes that may still follow; tooLong is set when
-	// more arrived.
+	// remaining is the number of bytes that may still follow.
 	remaining int64
-	tooLong   atomic.Bool
+	// failure is set if the body is incomplete and the client still awaits a response.
+	failure atomic.Pointer[bodyFailure]
+}
+
+// bodyFailure is the response to a request whose body failed while it was forwarded.
+type bodyFailure struct {
+	status int
+	reason string
 }
 
 var errBodyTooLong = errors.New("ingress: request body too long")
@@ -101,7 +113,7 @@
 	}
 	n, err := b.rest.Read(p)
 	if b.remaining -= int64(n); b.remaining < 0 {
-		b.tooLong.Store(true)
+		b.failure.Store(&bodyFailure{http.StatusRequestEntityTooLarge, "body_too_long"})
 		b.cancel()
 		return 0, errBodyTooLong
 	}
@@ -109,6 +121,9 @@
 	case errors.Is(err, io.EOF):
 		b.once.Do(func() { close(b.received) })
 	case err != nil:
+		if !isDisconnect(err) {
+			b.failure.Store(newBodyFailure(err))
+		}
 		b.cancel()
 	}
 	return n, err
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -28,7 +28,7 @@
 	streamed *streamedBody
 }
 
-func (c *connection) isDisconnect(err error) bool {
+func isDisconnect(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) ||
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
@@ -242,6 +242,16 @@
 	x.writeFailure(http.StatusBadGateway, call.ReasonNodeStopping, 0)
 }
 
+// writeBodyFailure responds to a call whose body failed while it was forwarded.
+func (x *exchange) writeBodyFailure(f bodyFailure) {
+	x.closeAfter = true
+	if f.status == http.StatusRequestTimeout && x.SentAttempts > 0 {
+		// The status 408 states that the call has not been executed.
+		f.status = http.StatusGatewayTimeout
+	}
+	x.writeFailure(f.status, f.reason, 0)
+}
+
 // forward forwards the call and writes its response.
 func (x *exchange) forward(ctx context.Context, cl *call.Call) {
 	forwarder := x.c.server.config.Forwarder
@@ -257,12 +267,9 @@
 		x.c.server.ages.RecordRejection(x.c.server.config.Clock())
 		x.writeFailure(http.StatusServiceUnavailable, r.Reason, r.RetryAfter)
 	case call.Expired:
-		if x.streamed != nil && x.streamed.tooLong.Load() {
-			x.closeAfter = true
-			x.writeFailure(http.StatusRequestEntityTooLarge, "body_too_long", 0)
-			return
-		}
 		switch {
+		case x.streamed != nil && x.streamed.failure.Load() != nil:
+			x.writeBodyFailure(*x.streamed.failure.Load())
 		case errors.Is(context.Cause(ctx), call.ErrNodeStopping):
 			x.writeAborted()
 		case ctx.Err() != nil:
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -402,7 +402,7 @@
 		status, reason = http.StatusRequestHeaderFieldsTooLarge, "head_too_long"
 	case errors.As(err, &timeout) && timeout.Timeout():
 		status, reason = http.StatusRequestTimeout, "head_too_slow"
-	case c.isDisconnect(err):
+	case isDisconnect(err):
 		return
 	}
 	x := c.newExchange("", c.server.config.Clock())
