transport: keep calls in flight when a link is replaced by any other

Callers got 502 for calls between two hosts, of which one dialed the other although both had a link.

Cause: only the replaced link of a crossed dial stayed open for the calls on it. A second link that the same side dialed, or a later one, closed the first at once. This can happen when the record of a host is removed and added during a dial.

TestSecondDialKeepsCallsInFlight failed before: the call ended with outcome 3 (broken) in place of 1. No call that was lost in this way has been seen outside of the test.

Every replaced link now stays open until it carries no call. If it is replaced because its peer restarted or lost it, it is closed by the end of its connection or by the check for silence.

--- a/peers/replaced_test.go
+++ b/peers/replaced_test.go
@@ -66,3 +66,34 @@
 		So(a.ByService("s"), ShouldHaveLength, 1)
 	})
 }
+
+// Guards against calls that are lost when a host that already has a link is dialed again.
+func TestSecondDialKeepsCallsInFlight(t *testing.T) {
+	inBubble(t, "a host dials another one twice", func(_ C, n *testNetwork) {
+		started, release := make(chan struct{}), make(chan struct{})
+		a, b := n.newHost("a", 1, echo), n.newHost("b", 2, func(ctx context.Context, c *call.Call) call.Result {
+			close(started)
+			select {
+			case <-ctx.Done():
+				return call.Result{Outcome: call.Expired, Sent: true}
+			case <-release:
+				return echo(ctx, c)
+			}
+		})
+		defer a.close()
+		defer b.close()
+		a.AddRecords(b.record)
+		a.waitForPeers(1)
+		former := a.Manager().Link("b")
+		result := make(chan call.Result, 1)
+		go func() { result <- a.ByService("s")[0].Run(context.Background(), newCall(nil)) }()
+		<-started
+		_, err := a.Manager().Dial(context.Background(), b.record.Address)
+		So(err, ShouldBeNil)
+		waitFor(func() bool { return a.Manager().Link("b") != former })
+		close(release)
+		So((<-result).Outcome, ShouldEqual, call.Answered)
+		<-former.Closed()
+		So(a.ByService("s"), ShouldHaveLength, 1)
+	})
+}
--- a/transport/manager.go
+++ b/transport/manager.go
@@ -32,8 +32,8 @@
 	// crossedDialWindow is the time within which a second link between two hosts,
 	// dialed from the other side, counts as a crossed dial and not as a reconnect.
 	crossedDialWindow = 2 * time.Second
-	// idlePollInterval is the interval at which a link that the link of a crossed dial has
-	// replaced is checked for exchanges.
+	// idlePollInterval is the interval at which a link that another one has replaced is
+	// checked for exchanges.
 	idlePollInterval = 50 * time.Millisecond
 	// maxHandshakeBytes limits the head of a handshake response. The address may have been
 	// assigned to another program since.
@@ -68,9 +68,8 @@
 	OnUp      func(*Link)
 	OnDown    func(*Link, error)
 	OnMessage func(*Link, Message)
-	// IsIdle reports whether a link carries no exchange, such as a call. When two dials
-	// cross, the link that is not kept stays open until it is idle. Nil means that every
-	// link is idle.
+	// IsIdle reports whether a link carries no exchange, such as a call. A link that another
+	// one replaces stays open until it is idle. Nil means that every link is idle.
 	IsIdle func(*Link) bool
 }
 
@@ -84,7 +83,7 @@
 
 	mu    sync.Mutex
 	links map[mesh.HostID]*Link
-	// superseded holds the open links that the link of a crossed dial has replaced.
+	// superseded holds the open links that another one has replaced.
 	superseded   map[*Link]bool
 	closed       bool
 	runningLinks sync.WaitGroup
@@ -138,7 +137,7 @@
 	return lo.Values(m.links)
 }
 
-// OpenLinks returns all links, and those that the link of a crossed dial has replaced.
+// OpenLinks returns all links, and those that another one has replaced.
 func (m *Manager) OpenLinks() []*Link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -236,9 +235,9 @@
 	m.run(link)
 }
 
-// register makes link the link to its peer and closes the one before it. When two dials
-// cross, both sides keep the same link: the one that the host with the lower ID dialed;
-// the other one is closed once it is idle. register reports false when link must be
+// register makes link the link to its peer in place of the one before it. When two dials
+// cross, both sides keep the same link: the one that the host with the lower ID dialed.
+// The other one is closed once it is idle. register reports false when link must be
 // closed now.
 func (m *Manager) register(link *Link) bool {
 	m.mu.Lock()
@@ -260,7 +259,7 @@
 	m.links[link.peer] = link
 	m.runningLinks.Add(1)
 	switch {
-	case crossed && m.config.IsIdle != nil:
+	case old != nil && m.config.IsIdle != nil:
 		m.supersede(old)
 	case old != nil:
 		old.Close()
@@ -268,12 +267,12 @@
 	return true
 }
 
-// supersede closes a link of a crossed dial that is not kept, once neither side uses it.
+// supersede closes a link that is not kept, once neither side uses it.
 // The caller holds the lock.
 func (m *Manager) supersede(link *Link) {
 	m.superseded[link] = true
 	go func() {
-		// After this time the peer has registered the other link.
+		// After this time the peer has registered the link that is kept.
 		pause := time.After(crossedDialWindow)
 		for {
 			select {
