peers: keep a link whose queue has no room for a requested plan

Callers got 502 for all calls between two hosts when one requested the plan of the other while many responses crossed a slow network link.

Cause: an error of sending the plan was handled like a malformed message of the peer, which closes the link. A full send queue is such an error.

TestPlanRequestOnAFullQueueDoesNotEndTheLink failed before: calls ended with "link lost".

The request is now dropped. The peer reads the store when it gets no plan in time, and asks again for a newer version.

--- a/peers/directory.go
+++ b/peers/directory.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
@@ -255,8 +256,13 @@
 		if err := m.Decode(&r); err != nil {
 			return err
 		}
-		if plan, known := d.config.PlanDelta(r.Have); known {
-			return l.Send(transport.KindPlanValue, plan)
+		plan, known := d.config.PlanDelta(r.Have)
+		if !known {
+			return nil
+		}
+		// If the queue is full, the peer asks again or reads the store.
+		if err := l.Send(transport.KindPlanValue, plan); !errors.Is(err, transport.ErrQueueFull) {
+			return err
 		}
 	case transport.KindPlanValue:
 		var plan routeplan.Delta
--- a/peers/queue_test.go
+++ b/peers/queue_test.go
@@ -58,6 +58,48 @@
 	})
 }
 
+// Guards against a link that is closed with the calls on it because its queue has no room
+// for a plan that the peer requests.
+func TestPlanRequestOnAFullQueueDoesNotEndTheLink(t *testing.T) {
+	inBubble(t, "a plan is requested on a slow link with many responses", func(_ C, n *testNetwork) {
+		const calls, size = 60, 64 << 10
+		respond := func(context.Context, *call.Call) call.Result {
+			body := io.NopCloser(bytes.NewReader(make([]byte, size)))
+			return call.Result{Outcome: call.Answered, Sent: true, Response: &call.Response{Status: 200, BodyBytes: size, Stream: body}}
+		}
+		a, b := n.newHost("a", 1, echo), n.newHost("b", 2, respond)
+		closed := make(chan struct{})
+		defer close(closed)
+		go func() {
+			for {
+				select {
+				case <-a.plans:
+				case <-closed:
+					return
+				}
+			}
+		}()
+		defer a.close()
+		defer b.close()
+		a.AddRecords(b.record)
+		a.waitForPeers(1)
+		link := a.Manager().Link("b")
+		n.Delay(b.record.Address, a.record.Address, 5*time.Millisecond)
+		errs := make(chan error, calls)
+		for range calls {
+			go func() {
+				_, _, err := runStreamed(a, 0)
+				errs <- err
+			}()
+		}
+		for range calls {
+			So(<-errs, ShouldBeNil)
+			So(a.RequestPlan("b", 4), ShouldBeNil)
+			So(a.Manager().Link("b") == link, ShouldBeTrue)
+		}
+	})
+}
+
 // Guards against a stopping host that ends while a result waits to be written to a slow
 // link.
 func TestQueuedResultsAreServing(t *testing.T) {
