--- a/peers/directory.go
+++ b/peers/directory.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
@@ -180,7 +181,8 @@
 	d.manager.Shutdown(ctx)
 }
 
-// Serving returns the number of calls of peers whose result has not been queued.
+// Serving returns the number of calls of peers whose result has not been queued, and of
+// frames of results that have not been written.
 func (d *Directory) Serving() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -202,13 +204,14 @@
 // Reset closes all links, because they may have been lost without notice while the
 // machine was suspended.
 func (d *Directory) Reset() {
-	for _, l := range d.manager.Links() {
+	for _, l := range d.manager.OpenLinks() {
 		l.Close()
 	}
 }
 
 func (d *Directory) sendStatus() {
-	links := d.manager.Links()
+	// A link that another one has replaced may carry calls, and is checked like the others.
+	links := d.manager.OpenLinks()
 	if len(links) == 0 {
 		return
 	}
@@ -218,8 +221,10 @@
 		return
 	}
 	for _, l := range links {
-		if err := l.SendFrame(transport.KindHostStatus, frame, nil); err != nil {
-			l.Close() // The queue is full because the peer does not read.
+		// Calls can fill the queue of a slow link: other frames then show the peer that this
+		// host is reachable. The link is closed only if the peer does not read.
+		if err := l.SendFrame(transport.KindHostStatus, frame, nil); err != nil && time.Since(l.LastSent()) > linkTimeout {
+			l.Close()
 		}
 	}
 }
@@ -251,8 +256,13 @@
 		if err := m.Decode(&r); err != nil {
 			return err
 		}
-		if plan, known := d.config.PlanDelta(r.Have); known {
-			return l.Send(transport.KindPlanValue, plan)
+		plan, known := d.config.PlanDelta(r.Have)
+		if !known {
+			return nil
+		}
+		// If the queue is full, the peer asks again or reads the store.
+		if err := l.Send(transport.KindPlanValue, plan); !errors.Is(err, transport.ErrQueueFull) {
+			return err
 		}
 	case transport.KindPlanValue:
 		var plan routeplan.Delta
--- a/transport/manager.go
+++ b/transport/manager.go
@@ -32,10 +32,8 @@
 	// crossedDialWindow is the time within which a second link between two hosts,
 	// dialed from the other side, counts as a crossed dial and not as a reconnect.
 	crossedDialWindow = 2 * time.Second
-	// maxSupersededTime limits how long a link stays open after the link of a crossed
-	// dial has taken its place.
-	maxSupersededTime = 10 * time.Second
-	// idlePollInterval is the interval at which such a link is checked for exchanges.
+	// idlePollInterval is the interval at which a link that another one has replaced is
+	// checked for exchanges.
 	idlePollInterval = 50 * time.Millisecond
 	// maxHandshakeBytes limits the head of a handshake response. The address may have been
 	// assigned to another program since.
@@ -70,9 +68,8 @@
 	OnUp      func(*Link)
 	OnDown    func(*Link, error)
 	OnMessage func(*Link, Message)
-	// IsIdle reports whether a link carries no exchange, such as a call. When two dials
-	// cross, the link that is not kept stays open until it is idle. Nil means that every
-	// link is idle.
+	// IsIdle reports whether a link carries no exchange, such as a call. A link that another
+	// one replaces stays open until it is idle. Nil means that every link is idle.
 	IsIdle func(*Link) bool
 }
 
@@ -86,7 +83,7 @@
 
 	mu    sync.Mutex
 	links map[mesh.HostID]*Link
-	// superseded holds the open links that the link of a crossed dial has replaced.
+	// superseded holds the open links that another one has replaced.
 	superseded   map[*Link]bool
 	closed       bool
 	runningLinks sync.WaitGroup
@@ -140,6 +137,16 @@
 	return lo.Values(m.links)
 }
 
+// OpenLinks returns all links, and those that another one has replaced.
+func (m *Manager) OpenLinks() []*Link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.openLinks()
+}
+
+// openLinks is OpenLinks for a caller that holds the lock.
+func (m *Manager) openLinks() []*Link { return append(lo.Values(m.links), lo.Keys(m.superseded)...) }
+
 // Dial opens a link to the node at address and returns its host. When the peer
 // dials at the same time and its link stays, Dial closes its own connection and
 // returns no error. Otherwise an older link to the same host is replaced.
@@ -228,9 +235,9 @@
 	m.run(link)
 }
 
-// register makes link the link to its peer and closes the one before it. When two dials
-// cross, both sides keep the same link: the one that the host with the lower ID dialed;
-// the other one is closed once it is idle. register reports false when link must be
+// register makes link the link to its peer in place of the one before it. When two dials
+// cross, both sides keep the same link: the one that the host with the lower ID dialed.
+// The other one is closed once it is idle. register reports false when link must be
 // closed now.
 func (m *Manager) register(link *Link) bool {
 	m.mu.Lock()
@@ -252,7 +259,7 @@
 	m.links[link.peer] = link
 	m.runningLinks.Add(1)
 	switch {
-	case crossed && m.config.IsIdle != nil:
+	case old != nil && m.config.IsIdle != nil:
 		m.supersede(old)
 	case old != nil:
 		old.Close()
@@ -260,24 +267,25 @@
 	return true
 }
 
-// supersede closes a link of a crossed dial that is not kept, once neither side uses it.
+// supersede closes a link that is not kept, once neither side uses it.
 // The caller holds the lock.
 func (m *Manager) supersede(link *Link) {
 	m.superseded[link] = true
 	go func() {
-		end := time.Now().Add(maxSupersededTime)
-		// After this time the peer has registered the other link.
-		for pause := crossedDialWindow; time.Now().Before(end); pause = idlePollInterval {
+		// After this time the peer has registered the link that is kept.
+		pause := time.After(crossedDialWindow)
+		for {
 			select {
 			case <-link.Closed():
 				return
-			case <-time.After(pause):
+			case <-pause:
 			}
 			if m.config.IsIdle(link) {
-				break
+				link.closeWithHandshake()
+				return
 			}
+			pause = time.After(idlePollInterval)
 		}
-		link.closeWithHandshake()
 	}()
 }
 
@@ -310,7 +318,7 @@
 func (m *Manager) Shutdown(ctx context.Context) {
 	m.mu.Lock()
 	m.closed = true
-	links := append(lo.Values(m.links), lo.Keys(m.superseded)...)
+	links := m.openLinks()
 	m.mu.Unlock()
 	m.cancel()
 	for _, l := range links {
@@ -332,7 +340,7 @@
 func (m *Manager) Close() {
 	m.mu.Lock()
 	m.closed = true
-	links := append(lo.Values(m.links), lo.Keys(m.superseded)...)
+	links := m.openLinks()
 	m.mu.Unlock()
 	m.cancel()
 	for _, l := range links {
