hostnode: log the start time of endpoints and when one is removed

The log lines could not tell which incarnation an announcement or a deregistration named, nor whether the endpoint had been removed in between.

Event 2520 now has started_at_ms (0: not stated), and event 2522 is logged when the host has no endpoint any more.

--- a/hostnode/control.go
+++ b/hostnode/control.go
@@ -51,7 +51,7 @@
 		eventAnnouncementRejected.Log(n.logger, "endpoint", id, "service", a.Service, "address", a.Address, "error", "not the endpoint beside this node")
 	case localendpoint.Renewed:
 	default:
-		eventAnnouncement.Log(n.logger, "endpoint", id, "service", a.Service, "verdict", result, "sequence", a.Sequence, "slots", a.Slots, "leaving", a.Draining)
+		eventAnnouncement.Log(n.logger, "endpoint", id, "service", a.Service, "verdict", result, "started_at_ms", a.StartedAtMs, "sequence", a.Sequence, "slots", a.Slots, "leaving", a.Draining)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(platform.HeartbeatResponse) // The endpoint sends the request again when it gets no response.
@@ -64,8 +64,9 @@
 		http.Error(w, "body incomplete", http.StatusBadRequest)
 		return
 	}
-	inUse := n.registration.Deregister(mesh.EndpointID(id), platform.DecodeDeregister(body))
-	eventAnnouncement.Log(n.logger, "endpoint", id, "verdict", "deregistered", "in_use", inUse)
+	startedAtMs := platform.DecodeDeregister(body)
+	inUse := n.registration.Deregister(mesh.EndpointID(id), startedAtMs)
+	eventAnnouncement.Log(n.logger, "endpoint", id, "verdict", "deregistered", "started_at_ms", startedAtMs, "in_use", inUse)
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(platform.HeartbeatResponse) // The endpoint sends the request again when it gets no response.
 }
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -126,7 +126,7 @@
 		onStoreRecovered: func() { n.registrar.signalStoreRecovered() },
 		monitor:          storeMonitor{logger: logger, use: "plan"},
 	}
-	n.registration = localendpoint.NewRegistration(s.Endpoint, clock, func(*localendpoint.Endpoint) { n.directory.ReportNow() })
+	n.registration = localendpoint.NewRegistration(s.Endpoint, clock, n.endpointChanged)
 	n.registration.Dial = localendpoint.DialFunc(sys.dial)
 	gate := localendpoint.NewGate(n.registration, platform.Headers{}, clock, observer)
 	record := peers.Record{Host: s.Host, Address: s.Listen.PeersAdvertised, FailureDomain: s.FailureDomain, Incarnation: n.started.UnixNano(), LinkMbps: s.LinkMbps}
@@ -153,6 +153,15 @@
 	return n, nil
 }
 
+// endpointChanged reports the endpoint of this host to its peers. The endpoint is nil
+// when there is none.
+func (n *Node) endpointChanged(e *localendpoint.Endpoint) {
+	if e == nil {
+		eventEndpointRemoved.Log(n.logger)
+	}
+	n.directory.ReportNow()
+}
+
 // statusReport returns the host's status for its peers.
 func (n *Node) statusReport() peers.Status {
 	read, epoch := n.planKeeper.tracker.LatestRead()
