localendpoint: keep deregistrations of endpoints that are not registered

Cause: Deregister acknowledged an endpoint that was not the current one and forgot it, so that the next late announcement registered it. The same happened while a predecessor, or an earlier incarnation with its ID, was registered.

The registration now keeps the incarnations that have deregistered, by ID and start, whatever is registered. An endpoint that states no start had started before its request arrived, so that a later start with its ID registers, and other IDs are not affected. The list is bounded.

TestLateAnnouncementsOfDrainedEndpoints failed before: "began" in place of "stale" after a deregistration without and with a start, with a predecessor and with an earlier incarnation.

--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -4,6 +4,7 @@
 package localendpoint
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -71,6 +72,9 @@
 	// Dial opens the connections to the endpoint; nil means net.Dialer. It must be set
 	// before the first announcement.
 	Dial DialFunc
+	// TimeOfDay returns the time of day of the endpoint's machine; nil means time.Now.
+	// It must be set before the first announcement.
+	TimeOfDay func() time.Time
 
 	clock boottime.Clock
 
@@ -80,9 +84,22 @@
 	// lastDeregistered is the latest incarnation that has deregistered, so that a
 	// late announcement does not register it again.
 	lastDeregistered Announcement
-	onChange         func(*Endpoint)
+	// drained are the latest incarnations that have deregistered, whether or not this
+	// process had an announcement of them.
+	drained  []incarnation
+	onChange func(*Endpoint)
 }
 
+// incarnation identifies an incarnation of an endpoint, and the earlier ones with its ID.
+type incarnation struct {
+	id          mesh.EndpointID
+	startedAtMs int64
+}
+
+// maxDrained bounds the drained incarnations that are kept. Announcements are a few
+// seconds late at most, in which an address changes hands only a few times.
+const maxDrained = 64
+
 // NewRegistration returns a registration without an endpoint. It calls onChange with
 // the endpoint after each change of its identity or state, with nil when there is
 // none; onChange must not block.
@@ -90,6 +107,13 @@
 	return &Registration{identity: identity, clock: clock, onChange: onChange}
 }
 
+func (r *Registration) timeOfDay() time.Time {
+	if r.TimeOfDay == nil {
+		return time.Now()
+	}
+	return r.TimeOfDay()
+}
+
 // SetIdentity replaces the configured identity. A current endpoint that does not
 // match it is removed.
 func (r *Registration) SetIdentity(identity Identity) {
@@ -151,12 +175,14 @@
 	switch {
 	case a.StartedAtMs < r.lastDeregistered.StartedAtMs, a.StartedAtMs == r.lastDeregistered.StartedAtMs && a.ID == r.lastDeregistered.ID:
 		return Stale, nil
-	case old == nil:
-	case a.ID == old.ID && a.StartedAtMs == old.StartedAtMs:
+	case old != nil && a.ID == old.ID && a.StartedAtMs == old.StartedAtMs:
 		if a.Sequence <= old.Sequence {
 			return Stale, nil
 		}
 		return r.update(a)
+	case r.hasDrained(a):
+		return Stale, nil
+	case old == nil:
 	case a.StartedAtMs < old.StartedAtMs, a.StartedAtMs == old.StartedAtMs && a.ID != old.ID:
 		return Stale, nil
 	}
@@ -168,6 +194,20 @@
 	return NewIncarnation, old
 }
 
+// hasDrained reports whether the announced incarnation, or a later one with its ID, has
+// drained.
+func (r *Registration) hasDrained(a Announcement) bool {
+	return slices.ContainsFunc(r.drained, func(d incarnation) bool { return d.id == a.ID && a.StartedAtMs <= d.startedAtMs })
+}
+
+func (r *Registration) recordDrained(id mesh.EndpointID, startedAtMs int64) {
+	r.drained = slices.DeleteFunc(r.drained, func(d incarnation) bool { return d.id == id && d.startedAtMs <= startedAtMs })
+	r.drained = append(r.drained, incarnation{id, startedAtMs})
+	if excess := len(r.drained) - maxDrained; excess > 0 {
+		r.drained = slices.Delete(r.drained, 0, excess)
+	}
+}
+
 func (r *Registration) newEndpoint(a Announcement) *Endpoint {
 	return &Endpoint{
 		Announcement: a, ColdUntil: r.clock() + a.ColdRemaining,
@@ -194,14 +234,20 @@
 
 // Deregister drains the endpoint at its own request. The parameter startedAtMs is 0
 // when the endpoint does not state it. Deregister reports false when another
-// incarnation is current.
+// incarnation or none is current; late announcements do not register the endpoint in
+// that case either.
 func (r *Registration) Deregister(id mesh.EndpointID, startedAtMs int64) bool {
 	r.mu.Lock()
 	e := r.current
 	if e == nil || e.ID != id || (startedAtMs != 0 && startedAtMs < e.StartedAtMs) {
+		if startedAtMs == 0 {
+			startedAtMs = r.timeOfDay().UnixMilli() // It has started before that.
+		}
+		r.recordDrained(id, startedAtMs)
 		r.mu.Unlock()
 		return false
 	}
+	r.recordDrained(id, max(startedAtMs, e.StartedAtMs))
 	next := *e
 	next.Draining = true
 	r.current, r.lastDeregistered = &next, e.Announcement
--- a/localendpoint/registration_test.go
+++ b/localendpoint/registration_test.go
@@ -1,6 +1,7 @@
 package localendpoint_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -78,6 +79,68 @@
 	})
 }
 
+// Guards against calls to an endpoint that a late announcement registers again, after
+// its host has acknowledged that it drains.
+func TestLateAnnouncementsOfDrainedEndpoints(t *testing.T) {
+	Convey("a registration", t, func() {
+		now := time.Duration(0)
+		r := localendpoint.NewRegistration(identity, func() time.Duration { return now }, func(*localendpoint.Endpoint) {})
+		r.TimeOfDay = func() time.Time { return time.UnixMilli(1000) }
+
+		Convey("an endpoint deregisters before this process has an announcement of it", func() {
+			So(r.Deregister("a", 0), ShouldBeFalse)
+			So(r.Announce(announcement("a", 100, 20)), ShouldEqual, localendpoint.Stale)
+			So(r.Current(), ShouldBeNil)
+			Convey("it registers with a start after that", func() {
+				So(r.Announce(announcement("a", 1001, 1)), ShouldEqual, localendpoint.NewIncarnation)
+				So(r.Current().Draining, ShouldBeFalse)
+			})
+			Convey("another endpoint that started earlier registers", func() {
+				So(r.Announce(announcement("b", 90, 1)), ShouldEqual, localendpoint.NewIncarnation)
+			})
+		})
+		Convey("it states its start when it deregisters", func() {
+			So(r.Deregister("a", 100), ShouldBeFalse)
+			So(r.Announce(announcement("a", 100, 20)), ShouldEqual, localendpoint.Stale)
+			So(r.Announce(announcement("a", 101, 1)), ShouldEqual, localendpoint.NewIncarnation)
+		})
+		Convey("an endpoint deregisters while its predecessor at the address is registered", func() {
+			So(r.Announce(announcement("old", 50, 1)), ShouldEqual, localendpoint.NewIncarnation)
+			So(r.Deregister("a", 0), ShouldBeFalse)
+			So(r.Current().Draining, ShouldBeFalse)
+			So(r.Announce(announcement("a", 100, 20)), ShouldEqual, localendpoint.Stale)
+			So(string(r.Current().ID), ShouldEqual, "old")
+		})
+		Convey("a later incarnation deregisters while an earlier one with its ID is registered", func() {
+			So(r.Announce(announcement("a", 50, 1)), ShouldEqual, localendpoint.NewIncarnation)
+			So(r.Deregister("a", 100), ShouldBeTrue)
+			So(r.Announce(announcement("a", 100, 20)), ShouldEqual, localendpoint.Stale)
+			So(r.Current().Draining, ShouldBeTrue)
+		})
+		Convey("a deregistered endpoint is removed, and its successor too", func() {
+			So(r.Announce(announcement("a", 100, 1)), ShouldEqual, localendpoint.NewIncarnation)
+			So(r.Deregister("a", 0), ShouldBeTrue)
+			So(r.Announce(announcement("b", 200, 1)), ShouldEqual, localendpoint.NewIncarnation)
+			So(r.Deregister("b", 0), ShouldBeTrue)
+			r.Remove(r.Current())
+			So(r.Announce(announcement("a", 100, 2)), ShouldEqual, localendpoint.Stale)
+			So(r.Announce(announcement("b", 200, 2)), ShouldEqual, localendpoint.Stale)
+		})
+		Convey("an endpoint that is not draining registers again after it was removed", func() {
+			So(r.Announce(announcement("a", 100, 1)), ShouldEqual, localendpoint.NewIncarnation)
+			r.Remove(r.Current())
+			So(r.Announce(announcement("a", 100, 2)), ShouldEqual, localendpoint.NewIncarnation)
+		})
+		Convey("the memory of drained endpoints is bounded and keeps the latest", func() {
+			for i := range 1000 {
+				r.Deregister(mesh.EndpointID(fmt.Sprint("e", i)), 0)
+			}
+			So(r.Announce(announcement("e999", 100, 20)), ShouldEqual, localendpoint.Stale)
+			So(r.Announce(announcement("e0", 100, 20)), ShouldEqual, localendpoint.NewIncarnation)
+		})
+	})
+}
+
 // Guards against an endpoint that gets no calls ever again after failures, because
 // its failure ratio does not decay.
 func TestFailureRatioDecays(t *testing.T) {
