localendpoint: keep that an endpoint drains after it was removed

Callers' requests could reach an endpoint after its host had acknowledged that it drains.

Cause: the draining state was kept in the current endpoint only. Remove (connection refused, or another endpoint at the address) and an identity that changes and changes back dropped it, and an announcement from before the drain that arrived late registered the endpoint as ready. A drain that an endpoint announced while one with a later start was registered was dropped too.

An announced drain is now kept with the deregistrations, by ID and start.

TestLateAnnouncementsOfDrainedEndpoints: the four cases added here failed before ("began" in place of "stale").

--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -84,8 +84,8 @@
 	// lastDeregistered is the latest incarnation that has deregistered, so that a
 	// late announcement does not register it again.
 	lastDeregistered Announcement
-	// drained are the latest incarnations that have deregistered, whether or not this
-	// process had an announcement of them.
+	// drained are the latest incarnations that have announced that they drain or have
+	// deregistered, whether or not they are or were current.
 	drained  []incarnation
 	onChange func(*Endpoint)
 }
@@ -184,11 +184,15 @@
 		return Stale, nil
 	case old == nil:
 	case a.StartedAtMs < old.StartedAtMs, a.StartedAtMs == old.StartedAtMs && a.ID != old.ID:
+		if a.Draining {
+			r.recordDrained(a.ID, a.StartedAtMs)
+		}
 		return Stale, nil
 	}
 	e := r.newEndpoint(a)
 	r.current = e
 	if a.Draining {
+		r.recordDrained(a.ID, a.StartedAtMs)
 		e.Queue.Close(reasonDraining)
 	}
 	return NewIncarnation, old
@@ -227,6 +231,7 @@
 	next.Announcement, next.ColdUntil = a, r.clock()+a.ColdRemaining
 	r.current = &next
 	if a.Draining && !wasDraining {
+		r.recordDrained(a.ID, a.StartedAtMs)
 		return DrainStarted, nil
 	}
 	return Renewed, nil
@@ -267,7 +272,8 @@
 
 // Remove removes an endpoint that is no longer at its address: nothing listens
 // there, or another endpoint does. The next announcement registers the endpoint
-// that is there. Until then other hosts send no calls to this host.
+// that is there, unless that endpoint has drained. Until then other hosts send no
+// calls to this host.
 func (r *Registration) Remove(e *Endpoint) {
 	r.mu.Lock()
 	if r.current == nil || r.current.Queue != e.Queue {
--- a/localendpoint/registration_test.go
+++ b/localendpoint/registration_test.go
@@ -117,6 +117,26 @@
 			So(r.Announce(announcement("a", 100, 20)), ShouldEqual, localendpoint.Stale)
 			So(r.Current().Draining, ShouldBeTrue)
 		})
+		Convey("a draining endpoint is removed", func() {
+			So(r.Announce(announcement("a", 100, 1)), ShouldEqual, localendpoint.NewIncarnation)
+			So(r.Announce(draining(announcement("a", 100, 3))), ShouldEqual, localendpoint.DrainStarted)
+			r.Remove(r.Current())
+			So(r.Current(), ShouldBeNil)
+			So(r.Announce(announcement("a", 100, 2)), ShouldEqual, localendpoint.Stale)
+			So(r.Announce(announcement("a", 200, 1)), ShouldEqual, localendpoint.NewIncarnation)
+		})
+		Convey("an endpoint that was draining at its first announcement is removed", func() {
+			So(r.Announce(draining(announcement("a", 100, 3))), ShouldEqual, localendpoint.NewIncarnation)
+			r.Remove(r.Current())
+			So(r.Announce(announcement("a", 100, 2)), ShouldEqual, localendpoint.Stale)
+		})
+		Convey("an endpoint with an earlier start drains before the registered one is removed", func() {
+			So(r.Announce(announcement("b", 200, 1)), ShouldEqual, localendpoint.NewIncarnation)
+			So(r.Announce(draining(announcement("a", 100, 3))), ShouldEqual, localendpoint.Stale)
+			So(r.Current().Draining, ShouldBeFalse)
+			r.Remove(r.Current())
+			So(r.Announce(announcement("a", 100, 2)), ShouldEqual, localendpoint.Stale)
+		})
 		Convey("a deregistered endpoint is removed, and its successor too", func() {
 			So(r.Announce(announcement("a", 100, 1)), ShouldEqual, localendpoint.NewIncarnation)
 			So(r.Deregister("a", 0), ShouldBeTrue)
@@ -126,6 +146,12 @@
 			So(r.Announce(announcement("a", 100, 2)), ShouldEqual, localendpoint.Stale)
 			So(r.Announce(announcement("b", 200, 2)), ShouldEqual, localendpoint.Stale)
 		})
+		Convey("the settings name another endpoint and then the draining one again", func() {
+			So(r.Announce(draining(announcement("a", 100, 3))), ShouldEqual, localendpoint.NewIncarnation)
+			r.SetIdentity(localendpoint.Identity{Service: "t", Address: "127.0.0.1:9", FailureDomain: "d"})
+			r.SetIdentity(identity)
+			So(r.Announce(announcement("a", 100, 2)), ShouldEqual, localendpoint.Stale)
+		})
 		Convey("an endpoint that is not draining registers again after it was removed", func() {
 			So(r.Announce(announcement("a", 100, 1)), ShouldEqual, localendpoint.NewIncarnation)
 			r.Remove(r.Current())
