hostnode: list the other hosts though the registration failed

What callers could see: a host that starts while the store rejects its registration knows no other host. It is ready after two seconds, has no endpoint for calls of other services, and keeps the plan that the store has, an older one if the store was restored from a copy, for as long as its writes are rejected.

Cause: the list of the hosts followed a successful registration only, so that a host that cannot write did not read either.

Fix: a host that has not listed the others does so when its registration fails. The list that follows the registration stays, so that of two hosts that start at the same time at least one finds the other. The cost is one read for a host that starts and is rejected. A registration that gets no answer still takes its time of two seconds first.

Evidence: TestHostFindsOthersWhileItsRegistrationFails on, in fake time: Expected: 2 Actual: 1 (hosts that the started host reaches when it is ready)

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -484,6 +484,34 @@
 	}
 }
 
+// Guards against a host that finds no other host, and keeps an older plan, while the
+// store rejects its registration.
+func TestHostFindsOthersWhileItsRegistrationFails(t *testing.T) {
+	inBubble(t, "the store grants no lease after a restore", func(t *testing.T) {
+		f := newBubbleFixture(t)
+		defer f.close()
+		f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
+		b := f.addHost("host-b", "one")
+		waitFor(func() bool { return b.node.planKeeper.activeVersion() == 4 && len(f.store.Keys(hostsPrefix)) == 1 })
+		saved := f.store.Copy()
+		f.store.Write(platform.ConfigKey, standin.Config(9, "one"))
+		waitFor(func() bool { return b.node.planKeeper.activeVersion() == 9 })
+		f.store.Restore(saved)
+		f.store.SetFault(func(path string) standin.Fault {
+			if path == "/kv-lease" {
+				return standin.RateLimited
+			}
+			return standin.NoFault
+		})
+		a := f.addHost("host-a", "one")
+		waitFor(a.node.ready)
+		So(a.node.directory.HostCount(), ShouldEqual, 2)
+		So(a.node.planKeeper.activeVersion(), ShouldEqual, 9)
+		f.store.SetFault(nil)
+		waitFor(func() bool { return len(f.store.Keys(hostsPrefix)) == 2 })
+	})
+}
+
 // Guards against a host whose record is lost in a restore of the store while another
 // owner gets its lease ID, so that its renewals succeed without the record.
 func TestHostsRegisterAgainAfterARestoreGaveOutTheirLeaseIDsAgain(t *testing.T) {
--- a/hostnode/registrar.go
+++ b/hostnode/registrar.go
@@ -107,6 +107,11 @@
 	}
 	if *lease == (platform.Lease{}) {
 		granted, err := r.register(ctx)
+		if err != nil && !r.listed.Load() {
+			// The other hosts may have a newer plan. They are read again after the
+			// registration.
+			return errors.CombineErrors(err, r.list(ctx, false))
+		}
 		if err != nil {
 			return err
 		}
