hostnode: hear the peers before the first plan of the store is active

What callers could see: a host that starts after the store was restored from a copy, before the operator has written again, handles calls by the older plan of the copy until a peer reports its newer one: 404 for a route that had been added, calls to the former service.

Cause: the first plan that was read from the store was taken for the newest one. Of a restored store that does not hold, and the peers may be linked only after the read, for instance when the first list of the hosts fails.

Fix: a host without a plan holds the one that it has read until its peers have had time to report, which is also when it reports readiness: 0.3 s after the list of the hosts, two seconds after the start at most. While a peer is known to have a newer version, it waits up to two seconds from the read for that one. Until then calls are rejected with 503. A host that reaches no other one serves the plan of the store after these times. A read that is held counts as an answer of the store after failed reads, so that the host registers as soon as before.

Evidence: TestHostThatStartsAfterARestoreServesTheNewestPlanOfItsPeers on, in fake time, the case in which the first list fails: Expected '4' to be in the container ([]interface {}), but it wasn't! (the versions that are allowed are 0, none, and 9). Without the limit of two seconds TestHostServesThePlanOfTheStoreWhenPeersDoNotSendTheirs fails.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -23,6 +23,7 @@
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/peers"
+	"geraniumnotch.example/geraniumnotch/plansync"
 	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/platform/standin"
 	"geraniumnotch.example/geraniumnotch/transport"
@@ -484,6 +485,72 @@
 	}
 }
 
+// Guards against a host that starts after a restore of the store and serves the older
+// plan of the copy, though the other hosts have a newer one.
+func TestHostThatStartsAfterARestoreServesTheNewestPlanOfItsPeers(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fails string
+	}{{"the host finds the others at once", ""}, {"its first list of the hosts fails", "/kv-range"}} {
+		inBubble(t, c.name, func(t *testing.T) {
+			f := newBubbleFixture(t)
+			defer f.close()
+			f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
+			f.addHost("host-b", "one")
+			f.addHost("host-c", "one")
+			allHave := func(version uint64) func() bool {
+				return func() bool {
+					for _, h := range f.hosts {
+						if h.node.planKeeper.activeVersion() != version || h.node.directory.HostCount() != len(f.hosts) {
+							return false
+						}
+					}
+					return true
+				}
+			}
+			waitFor(allHave(4))
+			saved := f.store.Copy()
+			f.store.Write(platform.ConfigKey, standin.Config(9, "one"))
+			waitFor(allHave(9))
+			f.store.Restore(saved)
+			failed := false
+			f.store.SetFault(func(path string) standin.Fault {
+				if path == c.fails && !failed {
+					failed = true
+					return standin.Unavailable
+				}
+				return standin.NoFault
+			})
+			started := time.Now()
+			a := f.addHost("host-a", "one")
+			waitFor(func() bool {
+				So(a.node.planKeeper.activeVersion(), ShouldBeIn, uint64(0), uint64(9))
+				return a.node.ready()
+			})
+			So(a.node.planKeeper.activeVersion(), ShouldEqual, 9)
+			So(time.Since(started), ShouldBeLessThan, maxPeerWait+planCheckInterval)
+		})
+	}
+}
+
+// Guards against a host that serves no call because peers report a newer plan that they
+// do not send.
+func TestHostServesThePlanOfTheStoreWhenPeersDoNotSendTheirs(t *testing.T) {
+	inBubble(t, "two peers report a newer plan again and again", func(t *testing.T) {
+		f := newBubbleFixture(t)
+		defer f.close()
+		f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
+		a := f.addHost("host-a", "one")
+		waitFor(func() bool {
+			for _, peer := range []mesh.HostID{"host-b", "host-c"} {
+				a.node.planKeeper.tracker.RecordReport(peer, 9, plansync.Stamp{}, 1, f.clock())
+			}
+			return a.node.planKeeper.activeVersion() == 4
+		})
+		So(f.clock(), ShouldBeLessThan, 2*maxPeerWait)
+	})
+}
+
 // Guards against a host that finds no other host, and keeps an older plan, while the
 // store rejects its registration.
 func TestHostFindsOthersWhileItsRegistrationFails(t *testing.T) {
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -121,6 +121,7 @@
 		clock: clock, store: n.store, current: &n.plan, logger: logger, tracker: plansync.New(fmt.Sprint(s.Host, "/", n.started.UnixNano()), s.PlanDeadline),
 		rank:             func() int { return n.directory.HostsAhead() },
 		askPeer:          func(host mesh.HostID, have uint64) error { return n.directory.RequestPlan(host, have) },
+		peersHeard:       func() bool { return n.peersHeard() },
 		onActivated:      func(p *routeplan.Plan) { n.ingress.PlanChanged(p) },
 		onConfirmed:      func() { n.directory.ReportNow() },
 		onStoreRecovered: func() { n.registrar.signalStoreRecovered() },
@@ -169,9 +170,12 @@
 
 // ready reports whether clients may send calls.
 func (n *Node) ready() bool {
-	if n.stopping.Load() || n.plan.Load() == nil {
-		return false
-	}
+	return !n.stopping.Load() && n.plan.Load() != nil && n.peersHeard()
+}
+
+// peersHeard reports whether the links to the other hosts have had time to come up since
+// the start. A host that cannot list the others waits for maxPeerWait.
+func (n *Node) peersHeard() bool {
 	if time.Since(n.started) > maxPeerWait {
 		return true
 	}
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -46,6 +46,14 @@
 	// when one of them finds it restored from a copy.
 	onStoreRecovered func()
 
+	// peersHeard reports whether the other hosts have had time to report a newer plan to
+	// this host since its start.
+	peersHeard func() bool
+	// first is the plan of the store that a host without a plan activates once it has
+	// heard its peers: a store that was restored from a copy may have an older plan than
+	// they have. Only run uses it.
+	first *firstPlan
+
 	mu sync.Mutex
 	// lastRead identifies the state of the store's plan that was read last.
 	lastRead platform.Revision
@@ -55,6 +63,12 @@
 	monitor storeMonitor
 }
 
+// firstPlan is a plan from the store and when its read began.
+type firstPlan struct {
+	item  platform.Item
+	began boottime.Time
+}
+
 // storeMonitor logs when the store becomes unavailable for one use and when it
 // answers again.
 type storeMonitor struct {
@@ -165,9 +179,12 @@
 			recoveries = n
 			k.onStoreRecovered()
 		}
+		k.activateFirst()
 		switch action, host := k.tracker.Next(k.clock(), k.rank()); action {
 		case plansync.ReadStore:
-			k.read(ctx)
+			if k.first == nil {
+				k.read(ctx)
+			}
 		case plansync.AskPeer:
 			if err := k.askPeer(host, k.activeVersion()); err != nil {
 				eventPlanRequestFailed.Log(k.logger, "host", host, "error", err)
@@ -190,14 +207,40 @@
 	}
 	k.lastRead = item.Revision
 	exists := item.Revision.Number != 0
+	if k.activeVersion() == 0 {
+		if changed && exists {
+			k.first = &firstPlan{item: item, began: began}
+		}
+		k.tracker.RecordNoPlan(k.clock())
+		return
+	}
 	if changed && exists {
 		k.activateItem(item)
 	}
-	if !exists && k.activeVersion() == 0 {
-		k.tracker.RecordNoPlan(k.clock())
+	k.recordRead(began, item.Revision.Epoch)
+}
+
+// activateFirst activates the first plan of the store once the peers have been heard and
+// none of them is expected to send a newer one.
+func (k *planKeeper) activateFirst() {
+	first := k.first
+	if first == nil {
+		return
+	}
+	isExpected := k.tracker.IsNewerKnown() && k.clock()-first.began < maxPeerWait
+	if k.activeVersion() == 0 && (!k.peersHeard() || isExpected) {
 		return
 	}
-	if !k.tracker.RecordRead(began, item.Revision.Epoch) {
+	k.first = nil
+	k.activateItem(first.item)
+	if k.activeVersion() != 0 {
+		k.recordRead(first.began, first.item.Revision.Epoch)
+	}
+}
+
+// recordRead records a read that found a plan no newer than the active one.
+func (k *planKeeper) recordRead(began boottime.Time, epoch uint64) {
+	if !k.tracker.RecordRead(began, epoch) {
 		k.tracker.RecordFailedRead(k.clock())
 		return
 	}
--- a/plansync/plansync.go
+++ b/plansync/plansync.go
@@ -179,10 +179,23 @@
 	t.failures++
 }
 
-// RecordNoPlan records a read of the store that showed that there is no plan yet.
+// IsNewerKnown reports whether a peer has reported a newer version than the active one
+// and may still send it.
+func (t *Tracker) IsNewerKnown() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.newestKnown > t.activeVersion
+}
+
+// RecordNoPlan records a read of the store after which no plan is active: there is none
+// yet, or the host waits for its peers.
 func (t *Tracker) RecordNoPlan(now boottime.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.failures != 0 {
+		t.recoveries++
+	}
+	t.failures, t.noReadBefore = 0, 0
 	t.confirmedAt = max(t.confirmedAt, now)
 }
 
--- a/plansync/plansync_test.go
+++ b/plansync/plansync_test.go
@@ -256,6 +256,20 @@
 	})
 }
 
+// Guards against a host that starts while the store is away, and does not register soon
+// after its return because it has no plan yet.
+func TestAHostWithoutAPlanLearnsThatTheStoreHasRecovered(t *testing.T) {
+	Convey("a read without a plan succeeds after a failed one", t, func() {
+		tracker := plansync.New("self", deadline)
+		tracker.RecordFailedRead(time.Second)
+		So(tracker.Recoveries(), ShouldEqual, 0)
+		tracker.RecordNoPlan(1200 * time.Millisecond)
+		So(tracker.Recoveries(), ShouldEqual, 1)
+		tracker.RecordNoPlan(1400 * time.Millisecond)
+		So(tracker.Recoveries(), ShouldEqual, 1)
+	})
+}
+
 // Guards against hosts that do not learn of a restore of the store during which no
 // read failed, so that their records may be missing.
 func TestAllHostsLearnOfARestoreWithoutAFailedRead(t *testing.T) {
