standin: name the paths of lists and grants

What was seen: TestWireNamesStayInThisFolder fails since, as tests of hostnode name two paths of the store's protocol.

Fix: the names are constants of the stand-in, which the tests use.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -491,7 +491,7 @@
 	for _, c := range []struct {
 		name  string
 		fails string
-	}{{"the host finds the others at once", ""}, {"its first list of the hosts fails", "/kv-range"}} {
+	}{{"the host finds the others at once", ""}, {"its first list of the hosts fails", standin.PathList}} {
 		inBubble(t, c.name, func(t *testing.T) {
 			f := newBubbleFixture(t)
 			defer f.close()
@@ -565,7 +565,7 @@
 		waitFor(func() bool { return b.node.planKeeper.activeVersion() == 9 })
 		f.store.Restore(saved)
 		f.store.SetFault(func(path string) standin.Fault {
-			if path == "/kv-lease" {
+			if path == standin.PathGrant {
 				return standin.RateLimited
 			}
 			return standin.NoFault
