hostnode: write the host's record again when another write replaced it

What callers could see: a host that starts does not find a running one and places no calls there, until the running host finds the new one in its next list, up to 27 s later.

Cause: a write of the record that gets no answer may be executed seconds later, after the host has registered under another lease. The record then is under the earlier lease and is removed when that one ends, though the host renews the later one. An earlier process of the host can do the same with a record that has its own start.

Fix: each list of the hosts shows the host its own record. If it is missing, is under another lease or has other contents, the host writes it again under its lease. The list follows each renewal, 27 s apart at most, and a lease lasts 60 s, so the record is written again before the earlier lease ends. It costs no call while the record is in place. Event 2519 reports it. A lease is identified by epoch and ID here too, so that a record under the same ID of an earlier epoch counts as replaced.

--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -25,6 +25,7 @@
 	eventRecordMalformed   = events.Define(2515, hclog.Warn, "malformed host record in the store", "Remove the key, or compare the versions of the programs.")
 	eventStoreRestored     = events.Define(2518, hclog.Warn, "store restored from a copy", "None; the node reads the route plan in full and registers again. Entries that others wrote since the copy was made are missing.")
 	eventRegistered        = events.Define(2516, hclog.Info, "host registered in the store", "None.")
+	eventRecordReplaced    = events.Define(2519, hclog.Info, "host record was replaced or removed in the store", "None; the node writes it again.")
 
 	eventAnnouncement         = events.Define(2520, hclog.Info, "endpoint announced itself or deregistered", "None; the verdict says what changed.")
 	eventAnnouncementRejected = events.Define(2521, hclog.Warn, "announcement rejected", "Compare the endpoint with the host's settings.")
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -656,6 +656,39 @@
 	}
 }
 
+// Guards against the record of a running host that vanishes with an earlier lease,
+// because a write under that lease was executed after one under the later lease.
+func TestRecordStaysAfterALateWriteUnderAnEarlierLease(t *testing.T) {
+	inBubble(t, "the first write of the record gets no answer and is executed late", func(t *testing.T) {
+		f := newBubbleFixture(t)
+		defer f.close()
+		r := &registrar{
+			store: platform.OpenStoreWith(f.store.Address(), f.dial), logger: hclog.NewNullLogger(),
+			record: peers.Record{Host: "running", Address: "address"}, addHosts: func(...peers.Record) {},
+		}
+		defer r.store.CloseIdleConnections()
+		f.store.SetFault(func(path string) standin.Fault {
+			if path == standin.PathTransaction {
+				return standin.ExecutedLate
+			}
+			return standin.NoFault
+		})
+		var lease platform.Lease
+		So(r.update(t.Context(), &lease, 0), ShouldNotBeNil)
+		f.store.SetFault(nil)
+		time.Sleep(renewRetryInterval)
+		So(r.update(t.Context(), &lease, 0), ShouldBeNil)
+		f.store.ExecuteLate()
+		calls := f.store.Calls(standin.PathTransaction)
+		for renewals := 1; renewals < 10; renewals++ {
+			time.Sleep(renewInterval)
+			So(f.store.Keys(hostsPrefix), ShouldResemble, []string{hostsPrefix + "running"})
+			So(r.update(t.Context(), &lease, renewals), ShouldBeNil)
+		}
+		So(f.store.Calls(standin.PathTransaction)-calls, ShouldEqual, 1)
+	})
+}
+
 // Guards against problems in settings that are reported one at a time, or not at
 // all.
 func TestSettings(t *testing.T) {
--- a/hostnode/registrar.go
+++ b/hostnode/registrar.go
@@ -110,7 +110,8 @@
 		if err != nil && !r.listed.Load() {
 			// The other hosts may have a newer plan. They are read again after the
 			// registration.
-			return errors.CombineErrors(err, r.list(ctx, false))
+			_, listErr := r.list(ctx, platform.Lease{}, false)
+			return errors.CombineErrors(err, listErr)
 		}
 		if err != nil {
 			return err
@@ -120,7 +121,18 @@
 	if !r.currentListDue && round%renewalsPerList != 0 {
 		return nil
 	}
-	return r.list(ctx, !r.currentListDue)
+	isRecorded, err := r.list(ctx, *lease, !r.currentListDue)
+	if err != nil || isRecorded {
+		return err
+	}
+	// An earlier write that got no answer may have been executed since, under a lease
+	// that ends sooner.
+	eventRecordReplaced.Log(r.logger, "lease", lease.ID, "epoch", lease.Epoch)
+	err = r.put(ctx, *lease)
+	if errors.Is(err, platform.ErrStoreLeaseNotFound) {
+		*lease = platform.Lease{}
+	}
+	return err
 }
 
 func (r *registrar) renew(ctx context.Context, lease platform.Lease) error {
@@ -136,24 +148,34 @@
 	if err != nil {
 		return platform.Lease{}, err
 	}
-	value, err := peers.EncodeRecord(r.record)
-	if err != nil {
-		return platform.Lease{}, err
-	}
-	if err := r.store.Put(ctx, hostsPrefix+string(r.record.Host), value, lease); err != nil {
+	if err := r.put(ctx, lease); err != nil {
 		return platform.Lease{}, err
 	}
 	eventRegistered.Log(r.logger, "lease", lease.ID, "epoch", lease.Epoch)
 	return lease, nil
 }
 
-func (r *registrar) list(ctx context.Context, stale bool) error {
+func (r *registrar) put(ctx context.Context, lease platform.Lease) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
 	defer cancel()
-	items, err := r.store.List(ctx, hostsPrefix, stale)
+	value, err := peers.EncodeRecord(r.record)
 	if err != nil {
 		return err
 	}
+	return r.store.Put(ctx, r.key(), value, lease)
+}
+
+func (r *registrar) key() string { return hostsPrefix + string(r.record.Host) }
+
+// list reads the records of all hosts. It reports whether this host's own one is there,
+// under the lease.
+func (r *registrar) list(ctx context.Context, lease platform.Lease, stale bool) (isRecorded bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
+	defer cancel()
+	items, err := r.store.List(ctx, hostsPrefix, stale)
+	if err != nil {
+		return false, err
+	}
 	records := make([]peers.Record, 0, len(items))
 	for _, item := range items {
 		record, err := peers.DecodeRecord(item.Value)
@@ -162,9 +184,12 @@
 			continue
 		}
 		records = append(records, record)
+		if item.Key == r.key() {
+			isRecorded = item.Lease == lease && record == r.record
+		}
 	}
 	r.addHosts(records...)
 	r.listed.Store(true)
 	r.currentListDue = false
-	return nil
+	return isRecorded, nil
 }
