--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -23,6 +23,7 @@
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/peers"
+	"geraniumnotch.example/geraniumnotch/plansync"
 	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/platform/standin"
 	"geraniumnotch.example/geraniumnotch/transport"
@@ -484,6 +485,100 @@
 	}
 }
 
+// Guards against a host that starts after a restore of the store and serves the older
+// plan of the copy, though the other hosts have a newer one.
+func TestHostThatStartsAfterARestoreServesTheNewestPlanOfItsPeers(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fails string
+	}{{"the host finds the others at once", ""}, {"its first list of the hosts fails", standin.PathList}} {
+		inBubble(t, c.name, func(t *testing.T) {
+			f := newBubbleFixture(t)
+			defer f.close()
+			f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
+			f.addHost("host-b", "one")
+			f.addHost("host-c", "one")
+			allHave := func(version uint64) func() bool {
+				return func() bool {
+					for _, h := range f.hosts {
+						if h.node.planKeeper.activeVersion() != version || h.node.directory.HostCount() != len(f.hosts) {
+							return false
+						}
+					}
+					return true
+				}
+			}
+			waitFor(allHave(4))
+			saved := f.store.Copy()
+			f.store.Write(platform.ConfigKey, standin.Config(9, "one"))
+			waitFor(allHave(9))
+			f.store.Restore(saved)
+			failed := false
+			f.store.SetFault(func(path string) standin.Fault {
+				if path == c.fails && !failed {
+					failed = true
+					return standin.Unavailable
+				}
+				return standin.NoFault
+			})
+			started := time.Now()
+			a := f.addHost("host-a", "one")
+			waitFor(func() bool {
+				So(a.node.planKeeper.activeVersion(), ShouldBeIn, uint64(0), uint64(9))
+				return a.node.ready()
+			})
+			So(a.node.planKeeper.activeVersion(), ShouldEqual, 9)
+			So(time.Since(started), ShouldBeLessThan, maxPeerWait+planCheckInterval)
+		})
+	}
+}
+
+// Guards against a host that serves no call because peers report a newer plan that they
+// do not send.
+func TestHostServesThePlanOfTheStoreWhenPeersDoNotSendTheirs(t *testing.T) {
+	inBubble(t, "two peers report a newer plan again and again", func(t *testing.T) {
+		f := newBubbleFixture(t)
+		defer f.close()
+		f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
+		a := f.addHost("host-a", "one")
+		waitFor(func() bool {
+			for _, peer := range []mesh.HostID{"host-b", "host-c"} {
+				a.node.planKeeper.tracker.RecordReport(peer, 9, plansync.Stamp{}, 1, f.clock())
+			}
+			return a.node.planKeeper.activeVersion() == 4
+		})
+		So(f.clock(), ShouldBeLessThan, 2*maxPeerWait)
+	})
+}
+
+// Guards against a host that finds no other host, and keeps an older plan, while the
+// store rejects its registration.
+func TestHostFindsOthersWhileItsRegistrationFails(t *testing.T) {
+	inBubble(t, "the store grants no lease after a restore", func(t *testing.T) {
+		f := newBubbleFixture(t)
+		defer f.close()
+		f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
+		b := f.addHost("host-b", "one")
+		waitFor(func() bool { return b.node.planKeeper.activeVersion() == 4 && len(f.store.Keys(hostsPrefix)) == 1 })
+		saved := f.store.Copy()
+		f.store.Write(platform.ConfigKey, standin.Config(9, "one"))
+		waitFor(func() bool { return b.node.planKeeper.activeVersion() == 9 })
+		f.store.Restore(saved)
+		f.store.SetFault(func(path string) standin.Fault {
+			if path == standin.PathGrant {
+				return standin.RateLimited
+			}
+			return standin.NoFault
+		})
+		a := f.addHost("host-a", "one")
+		waitFor(a.node.ready)
+		So(a.node.directory.HostCount(), ShouldEqual, 2)
+		So(a.node.planKeeper.activeVersion(), ShouldEqual, 9)
+		f.store.SetFault(nil)
+		waitFor(func() bool { return len(f.store.Keys(hostsPrefix)) == 2 })
+	})
+}
+
 // Guards against a host whose record is lost in a restore of the store while another
 // owner gets its lease ID, so that its renewals succeed without the record.
 func TestHostsRegisterAgainAfterARestoreGaveOutTheirLeaseIDsAgain(t *testing.T) {
@@ -561,6 +656,39 @@
 	}
 }
 
+// Guards against the record of a running host that vanishes with an earlier lease,
+// because a write under that lease was executed after one under the later lease.
+func TestRecordStaysAfterALateWriteUnderAnEarlierLease(t *testing.T) {
+	inBubble(t, "the first write of the record gets no answer and is executed late", func(t *testing.T) {
+		f := newBubbleFixture(t)
+		defer f.close()
+		r := &registrar{
+			store: platform.OpenStoreWith(f.store.Address(), f.dial), logger: hclog.NewNullLogger(),
+			record: peers.Record{Host: "running", Address: "address"}, addHosts: func(...peers.Record) {},
+		}
+		defer r.store.CloseIdleConnections()
+		f.store.SetFault(func(path string) standin.Fault {
+			if path == standin.PathTransaction {
+				return standin.ExecutedLate
+			}
+			return standin.NoFault
+		})
+		var lease platform.Lease
+		So(r.update(t.Context(), &lease, 0), ShouldNotBeNil)
+		f.store.SetFault(nil)
+		time.Sleep(renewRetryInterval)
+		So(r.update(t.Context(), &lease, 0), ShouldBeNil)
+		f.store.ExecuteLate()
+		calls := f.store.Calls(standin.PathTransaction)
+		for renewals := 1; renewals < 10; renewals++ {
+			time.Sleep(renewInterval)
+			So(f.store.Keys(hostsPrefix), ShouldResemble, []string{hostsPrefix + "running"})
+			So(r.update(t.Context(), &lease, renewals), ShouldBeNil)
+		}
+		So(f.store.Calls(standin.PathTransaction)-calls, ShouldEqual, 1)
+	})
+}
+
 // Guards against problems in settings that are reported one at a time, or not at
 // all.
 func TestSettings(t *testing.T) {
