--- a/localendpoint/gate_test.go
+++ b/localendpoint/gate_test.go
@@ -62,6 +62,10 @@
 	if err != nil {
 		panic(err)
 	}
+	return serveStubEndpoint(l, respond)
+}
+
+func serveStubEndpoint(l net.Listener, respond responder) *stubEndpoint {
 	e := &stubEndpoint{listener: l}
 	go func() {
 		for {
