--- a/peers/replaced_test.go
+++ b/peers/replaced_test.go
@@ -97,3 +97,24 @@
 		So(a.ByService("s"), ShouldHaveLength, 1)
 	})
 }
+
+// Guards against results on a replaced link that a stopping host does not send.
+func TestStoppingHostSendsItsLastResultsOnAReplacedLink(t *testing.T) {
+	inBubble(t, "a host stops while it executes a call of a replaced link", func(_ C, n *testNetwork) {
+		started := make(chan struct{})
+		var b *host
+		a := n.newHost("a", 1, echo)
+		b = n.newHost("b", 2, func(ctx context.Context, c *call.Call) call.Result {
+			close(started)
+			time.Sleep(100 * time.Millisecond) // The dials cross meanwhile.
+			b.stop()
+			time.Sleep(10 * time.Millisecond) // Lets the host act on it.
+			return echo(ctx, c)
+		})
+		defer a.close()
+		defer b.close()
+		So((<-crossDials(a, b, started)).Outcome, ShouldEqual, call.Answered)
+		<-b.ended
+		So(b.Manager().OpenLinks(), ShouldBeEmpty)
+	})
+}
