ingress: do not cut a response while its client reads

Callers with a slow connection got a truncated response, and none to the requests behind it, if they needed more than 10 s for it.

Cause: the timeout for clients that do not read was set once for the whole response.

TestResponseToASlowClientIsComplete failed before: EOF after 11 reads of at most 4 KiB, one a second, in place of the end of a response of 60 KiB.

The timeout now begins again with each 16 KiB, so that only a client that does not read is disconnected.

--- a/ingress/response.go
+++ b/ingress/response.go
@@ -103,11 +103,27 @@
 
 func (x *exchange) acquireWriter() *bufio.Writer {
 	w := writerPool.Get().(*bufio.Writer)
-	w.Reset(x.c.conn)
-	_ = x.c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // The next write returns the error.
+	w.Reset(x.c)
 	return w
 }
 
+// Write writes to the client. It fails when the client reads nothing for writeTimeout.
+func (c *connection) Write(b []byte) (int, error) {
+	written := 0
+	for written < len(b) {
+		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // The write returns the error.
+		n, err := c.conn.Write(b[written:min(len(b), written+maxWriteBytes)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// ReadFrom writes a long body in larger parts than the buffer of a bufio.Writer.
+func (c *connection) ReadFrom(r io.Reader) (int64, error) { return io.Copy(struct{ io.Writer }{c}, r) }
+
 func releaseWriter(w *bufio.Writer) {
 	w.Reset(nil)
 	writerPool.Put(w)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -31,8 +31,10 @@
 	// maxBufferedBodyBytes is the longest request body that is read completely
 	// before the call is forwarded, so that a slow client holds no slot.
 	maxBufferedBodyBytes = 1 << 20
-	// writeTimeout bounds the writing of a response to a client that does not read.
-	writeTimeout = 10 * time.Second
+	// writeTimeout bounds the writing of maxWriteBytes of a response to a client that does
+	// not read.
+	writeTimeout  = 10 * time.Second
+	maxWriteBytes = 16 << 10
 	// defaultTimeout is the header and idle timeout while no plan is known.
 	defaultTimeout = 10 * time.Second
 	// defaultHeaderBytes is the limit of a request head while no plan is known.
