hostnode: check endpoints that may have drained before the process started

Callers' requests could reach an endpoint after its host had acknowledged that it leaves, when the host's process started again in between.

Cause: what a process has acknowledged is lost with it, there is no disk, and an announcement does not show whether it was sent before the endpoint left.

An announcement that would register an endpoint which has announced itself before (sequence above 1), but not to this process, now starts a check of the endpoint's health path. The endpoint itself knows that it leaves: it responds 503. It is registered when it responds 200 with its ID. Without a health path in the plan there is no check.

TestRestartedHostAndLateAnnouncements failed before (the leaving endpoint was registered).

Left: an endpoint without a health path in the plan, and a late first announcement (sequence 1), are registered without a check.

--- a/hostnode/control.go
+++ b/hostnode/control.go
@@ -40,11 +40,11 @@
 		http.Error(w, "malformed announcement", http.StatusBadRequest)
 		return
 	}
-	result := n.registration.Announce(a)
+	result := n.announce(a)
 	if result == localendpoint.Mismatched {
 		// The settings file may have changed without a signal.
 		n.reload()
-		result = n.registration.Announce(a)
+		result = n.announce(a)
 	}
 	switch result {
 	case localendpoint.Mismatched:
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -82,6 +82,10 @@
 	callsEnded chan struct{}
 	servers    []*http.Server
 	cancel     context.CancelFunc
+	// running ends with cancel.
+	running context.Context
+	// checkRuns is set while an endpoint is checked before it is registered.
+	checkRuns atomic.Bool
 	// linksClosed is closed when the links to the other hosts have ended.
 	linksClosed chan struct{}
 }
@@ -195,7 +199,7 @@
 func (n *Node) Start() error {
 	s := n.settings.Load()
 	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
+	n.running, n.cancel = ctx, cancel
 	calls, err := n.listen(s.Listen.Calls)
 	if err != nil {
 		return err
