hostnode: register again at the rate of writes that the store accepts

What callers could see: after an outage or a restore of the store all hosts register again. Where they make more writes than the store accepts, some are rejected and try again 0.6 s to 1.8 s later, so that a host that starts does not find them within two seconds.

Cause: the registrations were spread at random over a time that allows 1,000 writes a second, whatever the store accepts; for 150 hosts or fewer over 0.3 s.

Fix: the rate that the store accepts is a setting, store.writes-per-s, which the platform states (400 where it is missing). The spread lets all hosts make their two writes at 0.8 of it. Each host has its own turn in it, by the same order in which the hosts take over the reads, so that turns do not coincide by chance.

What it can't do: two writes of each host within two seconds take 400 writes a second for 320 hosts, and 940 for 750 (calculated); a slower store takes longer.

Evidence: TestManyHostsRegisterAgainWithinTheWriteRateOfTheStore, 60 hosts at 100 writes a second and 90 at 150, in fake time.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -415,6 +415,63 @@
 	})
 }
 
+// Guards against registrations of many hosts after an outage of the store that exceed
+// the rate of writes that it accepts. The users' bounds are that rate and two seconds
+// after the recovery.
+func TestManyHostsRegisterAgainWithinTheWriteRateOfTheStore(t *testing.T) {
+	for _, c := range []struct{ hosts, writesPerSecond int }{{60, 100}, {90, 150}} {
+		inBubble(t, fmt.Sprintf("the leases of %d hosts expire, %d writes a second", c.hosts, c.writesPerSecond), func(t *testing.T) {
+			f := newBubbleFixture(t)
+			defer f.close()
+			ctx, cancel := context.WithCancel(t.Context())
+			var registrars []*registrar
+			var running sync.WaitGroup
+			for i := range c.hosts {
+				name := fmt.Sprintf("host-%03d", i)
+				r := &registrar{
+					store: platform.OpenStoreWith(f.store.Address(), f.dial), logger: hclog.NewNullLogger(),
+					record: peers.Record{Host: mesh.HostID(name), Address: name}, addHosts: func(...peers.Record) {},
+					storeRecovered: make(chan struct{}, 1), hostCount: func() int { return c.hosts }, hostsAhead: func() int { return i },
+					writesPerSecond: float64(c.writesPerSecond),
+				}
+				registrars = append(registrars, r)
+				running.Go(func() { r.run(ctx) })
+			}
+			defer func() {
+				cancel()
+				running.Wait()
+				for _, r := range registrars {
+					r.store.CloseIdleConnections()
+				}
+			}()
+			waitFor(func() bool { return len(f.store.Keys(hostsPrefix)) == c.hosts })
+			synctest.Wait()
+			var writes []time.Time
+			rejected := 0
+			f.store.SetFault(func(path string) standin.Fault {
+				if path != standin.PathGrant && path != standin.PathTransaction {
+					return standin.NoFault
+				}
+				now := time.Now()
+				if n := len(writes) - c.writesPerSecond; n >= 0 && now.Sub(writes[n]) < time.Second {
+					rejected++
+					return standin.RateLimited
+				}
+				writes = append(writes, now)
+				return standin.NoFault
+			})
+			f.store.ExpireLeases()
+			recovered := time.Now()
+			for _, r := range registrars {
+				r.signalStoreRecovered()
+			}
+			waitFor(func() bool { return len(f.store.Keys(hostsPrefix)) == c.hosts })
+			So(time.Since(recovered), ShouldBeLessThan, 2*time.Second)
+			So(rejected, ShouldEqual, 0)
+		})
+	}
+}
+
 // Guards against calls that get no response because they last longer than the process
 // may after a stop signal.
 func TestStopAnswersCallsThatOutlastIt(t *testing.T) {
@@ -700,6 +757,14 @@
 		So(s.RetryBudget.Slack, ShouldEqual, 58)
 		So(s.Listen.Ready, ShouldEqual, "10.0.0.1:4")
 		So(s.Listen.PeersAdvertised, ShouldEqual, s.Listen.Peers)
+		So(s.StoreWritesPerSecond, ShouldEqual, defaultStoreWritesPerSecond)
+	})
+	Convey("the rate of writes of the store", t, func() {
+		s, err := ParseSettings([]byte(strings.Replace(good, "[store]\n", "[store]\nwrites-per-s = 1200\n", 1)))
+		So(err, ShouldBeNil)
+		So(s.StoreWritesPerSecond, ShouldEqual, 1200)
+		_, err = ParseSettings([]byte(strings.Replace(good, "[store]\n", "[store]\nwrites-per-s = 0\n", 1)))
+		So(err.Error(), ShouldContainSubstring, "writes-per-s")
 	})
 	Convey("an advertised address for peers that differs from the listen address", t, func() {
 		s, err := ParseSettings([]byte(strings.Replace(good, "[listen]\n", "[listen]\npeers-advertised = 10.0.0.9:9\n", 1)))
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -140,7 +140,7 @@
 	})
 	n.registrar = &registrar{
 		store: n.store, record: record, logger: logger, addHosts: n.directory.AddRecords,
-		storeRecovered: make(chan struct{}, 1), hostCount: n.directory.HostCount, monitor: storeMonitor{logger: logger, use: "hosts"},
+		storeRecovered: make(chan struct{}, 1), hostCount: n.directory.HostCount, hostsAhead: n.directory.HostsAhead, writesPerSecond: s.StoreWritesPerSecond, monitor: storeMonitor{logger: logger, use: "hosts"},
 	}
 	n.ingress = ingress.New(ingress.Config{
 		Plan: &n.plan, Headers: platform.Headers{}, Clock: clock, Observer: observer,
--- a/hostnode/registrar.go
+++ b/hostnode/registrar.go
@@ -29,10 +29,10 @@
 	// answers again. Together with the pause between failed reads of the plan it stays
 	// within the two seconds after which a host without a record counts as missing.
 	recoverySpread = 300 * time.Millisecond
-	// recoverySpreadPerHost extends recoverySpread for many hosts: two writes of each
-	// host then stay below 1,000 writes a second, which the stores of such deployments
-	// can serve.
-	recoverySpreadPerHost = 2 * time.Millisecond
+	// recoveryWriteShare is the share of the store's write rate that hosts use when all
+	// of them register again. The rest is for other writes and for hosts that do not
+	// know each other.
+	recoveryWriteShare = 0.8
 	// renewalsPerList is the number of renewals for each read of all host records,
 	// which finds hosts that started while this one was unreachable.
 	renewalsPerList = 1
@@ -49,7 +49,11 @@
 	storeRecovered chan struct{}
 	// hostCount returns the number of hosts that share the store.
 	hostCount func() int
-	monitor   storeMonitor
+	// hostsAhead returns the number of them that precede this host.
+	hostsAhead func() int
+	// writesPerSecond is the rate of writes of all hosts that the store accepts.
+	writesPerSecond float64
+	monitor         storeMonitor
 	// listed is set once the host records have been read.
 	listed atomic.Bool
 	// currentListDue is set from a registration to the next list: a stale one may lack
@@ -71,8 +75,7 @@
 	}
 }
 
-// waitForRenewal waits for d, or for a random part of the recovery spread once the
-// store has recovered.
+// waitForRenewal waits for d, or for the host's turn once the store has recovered.
 func (r *registrar) waitForRenewal(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -80,11 +83,20 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	case <-r.storeRecovered:
-		spread := max(recoverySpread, time.Duration(r.hostCount())*recoverySpreadPerHost)
-		sleep(ctx, rand.N(spread))
+		sleep(ctx, r.recoveryDelay())
 	}
 }
 
+// recoveryDelay returns the host's turn in the recovery spread. Hosts that know each
+// other have different turns.
+func (r *registrar) recoveryDelay() time.Duration {
+	hosts := float64(max(r.hostCount(), r.hostsAhead()+1))
+	const writesPerHost = 2 // A host gets a lease and writes its record.
+	seconds := min(hosts*writesPerHost/(recoveryWriteShare*r.writesPerSecond), renewInterval.Seconds())
+	spread := max(recoverySpread, time.Duration(seconds*float64(time.Second)))
+	return time.Duration((float64(r.hostsAhead()) + rand.Float64()) / hosts * float64(spread))
+}
+
 // signalStoreRecovered makes the next renewal due soon.
 func (r *registrar) signalStoreRecovered() {
 	select {
--- a/hostnode/settings.go
+++ b/hostnode/settings.go
@@ -24,6 +24,8 @@
 	LinkMbps     float64
 	Listen       Listen
 	StoreAddress string
+	// StoreWritesPerSecond is the rate of writes of all hosts that the store accepts.
+	StoreWritesPerSecond float64
 	// Drain limits the time from a stop signal to the end of the process.
 	Drain time.Duration
 	// PlanDeadline is the time within which a new plan must be active.
@@ -44,6 +46,9 @@
 // maxSettingsBytes limits the size of a settings file, which has about 30 lines.
 const maxSettingsBytes = 64 << 10
 
+// defaultStoreWritesPerSecond applies where the settings state no rate.
+const defaultStoreWritesPerSecond = 400
+
 // ErrSettings means that a settings file cannot be used. The error lists all
 // problems.
 var ErrSettings = errors.New("hostnode: invalid settings")
@@ -76,13 +81,16 @@
 			Calls: p.address("listen", "calls"), Peers: p.address("listen", "peers"), Ready: p.address("listen", "ready"),
 			Announcements: p.address("listen", "announcements"), Metrics: p.address("listen", "metrics"),
 		},
-		StoreAddress: p.address("store", "address"),
+		StoreAddress: p.address("store", "address"), StoreWritesPerSecond: defaultStoreWritesPerSecond,
 		Drain:        p.seconds("bounds", "drain-s"),
 		PlanDeadline: p.milliseconds("bounds", "plan-deadline-ms"),
 		RetryBudget: retrybudget.Bound{
 			Ratio: p.fraction("bounds", "repeat-ratio"), Slack: p.fraction("bounds", "repeat-slack"), Window: p.seconds("bounds", "repeat-window-s"),
 		},
 	}
+	if p.values["store.writes-per-s"].Text != "" {
+		s.StoreWritesPerSecond = p.positive("store", "writes-per-s")
+	}
 	s.Listen.PeersAdvertised = s.Listen.Peers
 	if p.values["listen.peers-advertised"].Text != "" {
 		s.Listen.PeersAdvertised = p.address("listen", "peers-advertised")
@@ -155,9 +163,13 @@
 }
 
 func (p *settingsParser) duration(section, key string, unit time.Duration) time.Duration {
+	return time.Duration(p.positive(section, key) * float64(unit))
+}
+
+func (p *settingsParser) positive(section, key string) float64 {
 	f, err := strconv.ParseFloat(p.values[section+"."+key].Text, 64)
 	if err != nil || !(f > 0) || f > 1e9 {
 		p.addProblem(section, key, "a number above 0")
 	}
-	return time.Duration(f * float64(unit))
+	return f
 }
