hostnode: test a second restore during the recovery from the first

The evidence for the first restore says nothing of a second one that takes effect while the hosts read and register.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -675,6 +675,50 @@
 	})
 }
 
+// Guards against a second restore of the store that takes effect while the hosts still
+// read and register after the first one. The users' bounds are two seconds for a version
+// and for the records.
+func TestASecondRestoreDuringTheRecoveryFromTheFirst(t *testing.T) {
+	for gap := time.Duration(0); gap <= 1200*time.Millisecond; gap += 75 * time.Millisecond {
+		inBubble(t, fmt.Sprint("the second restore follows after ", gap), func(t *testing.T) {
+			f := newBubbleFixture(t)
+			defer f.close()
+			f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
+			saved := f.store.Copy()
+			for _, name := range []string{"host-a", "host-b", "host-c"} {
+				f.addHost(name, "one")
+			}
+			allHave := func(version uint64) func() bool {
+				return func() bool {
+					for _, h := range f.hosts {
+						if h.node.planKeeper.activeVersion() != version || h.node.directory.HostCount() != len(f.hosts) {
+							return false
+						}
+					}
+					return len(f.store.Keys(hostsPrefix)) == len(f.hosts)
+				}
+			}
+			waitFor(allHave(4))
+			rewritten := standin.Entry{Key: platform.ConfigKey, Value: standin.Config(9, "one")}
+			f.store.Restore(saved, rewritten)
+			time.Sleep(gap)
+			copied := saved
+			if gap > 0 {
+				copied = f.store.Copy()
+			}
+			f.store.Write(platform.ConfigKey, standin.Config(12, "one"))
+			time.Sleep(gap / 2)
+			f.store.Restore(copied, standin.Entry{Key: platform.ConfigKey, Value: standin.Config(15, "one")})
+			restored := time.Now()
+			waitFor(allHave(15))
+			So(time.Since(restored), ShouldBeLessThan, 2*time.Second)
+			for end := time.Now().Add(2 * leaseLifetime); time.Now().Before(end); time.Sleep(time.Second) {
+				So(allHave(15)(), ShouldBeTrue)
+			}
+		})
+	}
+}
+
 // Guards against a host that registers again while another one starts, and a stale list
 // that hides the other one: neither would find the other.
 func TestHostThatRegistersAgainFindsAHostThatHasJustStarted(t *testing.T) {
