hostnode: end the calls in flight though the process was delayed

A call got no response when its host stopped while the process was not scheduled for some hundred milliseconds.

Cause: Stop ends the calls in flight from 600 ms to 300 ms before the drain time is over, in the loop that ends with this window. A process that is delayed over the whole window leaves the loop without having ended them, and closes their connections. One that is delayed after it has ended them has no time left to write the responses.

Why the fix works: the calls are ended whenever the node is not drained by then, and the wait for their responses is bounded by a number of checks in place of a time of day that a delay can use up. Without a delay the times are the same.

The fixture's HTTP client and logger can be set now, so that calls and announcements work in the in-memory network.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -35,6 +35,9 @@
 	store *standin.Store
 	dir   string
 	hosts []*fixtureHost
+	// client sends announcements and calls.
+	client *http.Client
+	logger hclog.Logger
 }
 
 type fixtureHost struct {
@@ -69,7 +72,10 @@
 }
 
 func newFixture(t *testing.T) *fixture {
-	return &fixture{system: system{clock: boottime.Now, openListener: net.Listen}, store: standin.New(), dir: t.TempDir()}
+	return &fixture{
+		system: system{clock: boottime.Now, openListener: net.Listen}, store: standin.New(), dir: t.TempDir(),
+		client: http.DefaultClient, logger: hclog.NewNullLogger(),
+	}
 }
 
 // newBubbleFixture is newFixture with an in-memory network and the clock of a synctest
@@ -80,7 +86,8 @@
 	if err != nil {
 		panic(err)
 	}
-	return &fixture{store: standin.NewOn(l), dir: t.TempDir(), system: system{
+	client := &http.Client{Transport: &http.Transport{DialContext: network.Dialer("127.0.0.3:1")}}
+	return &fixture{store: standin.NewOn(l), dir: t.TempDir(), client: client, logger: hclog.NewNullLogger(), system: system{
 		clock:        func() boottime.Time { return time.Since(began) },
 		openListener: func(_, address string) (net.Listener, error) { return network.Listen(address) },
 		dial:         network.Dialer("127.0.0.2:1"),
@@ -145,7 +152,7 @@
 }
 
 func (h *fixtureHost) start() {
-	n, err := newNode(h.path(), hclog.NewNullLogger(), func() int64 { return 0 }, h.fixture.system)
+	n, err := newNode(h.path(), h.fixture.logger, func() int64 { return 0 }, h.fixture.system)
 	if err != nil {
 		panic(err)
 	}
@@ -179,13 +186,13 @@
 repeat-window-s = 10
 `
 
-func post(url, body string) int {
+func post(client *http.Client, url, body string) int {
 	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
 	request.Close = true
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return 0
 	}
@@ -197,13 +204,13 @@
 func (h *fixtureHost) announce(service, state string) int {
 	h.sequence++
 	path, body := standin.Heartbeat("i-"+h.name, h.address["endpoint"], service, "d", state, h.sequence)
-	return post("http://"+h.address["announcements"]+path, body)
+	return post(h.fixture.client, "http://"+h.address["announcements"]+path, body)
 }
 
 // postMalformed sends an announcement that cannot be decoded.
 func postMalformed(h *fixtureHost) int {
 	path, _ := standin.Heartbeat("i-x", "", "", "", "", 1)
-	return post("http://"+h.address["announcements"]+path, "garbage")
+	return post(h.fixture.client, "http://"+h.address["announcements"]+path, "garbage")
 }
 
 // request returns a request to the host's ingress that is the last one of its
@@ -222,7 +229,7 @@
 
 // get sends a call to the host's ingress.
 func (h *fixtureHost) get(id, path string) (int, string) {
-	response, err := http.DefaultClient.Do(h.request(id, path))
+	response, err := h.fixture.client.Do(h.request(id, path))
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -449,6 +456,54 @@
 	})
 }
 
+// delayingLogger delays the goroutine that logs a message.
+type delayingLogger struct {
+	hclog.Logger
+	message string
+	delay   time.Duration
+}
+
+func (l delayingLogger) Log(level hclog.Level, message string, args ...any) {
+	if message == l.message {
+		time.Sleep(l.delay)
+	}
+	l.Logger.Log(level, message, args...)
+}
+
+// Guards against calls that get no response because the process was not scheduled when
+// it should have ended them.
+func TestStopAnswersCallsAfterADelay(t *testing.T) {
+	for _, path := range []string{"/one/x", "/once/x"} {
+		inBubble(t, "the process is delayed beyond its drain time: "+path, func(t *testing.T) {
+			f := newBubbleFixture(t)
+			defer f.close()
+			f.logger = delayingLogger{hclog.NewNullLogger(), eventStopping.Message, time.Second}
+			f.store.Write(platform.ConfigKey, standin.ConfigWithRoutes(1, standin.Route{Path: "one", Service: "one"}, standin.Route{Path: "once", Service: "one", AtMostOnce: true}))
+			a := f.addHost("host-a", "one")
+			waitFor(func() bool { return a.announce("one", "ready") == http.StatusOK })
+			waitFor(func() bool { status, _ := a.get("first", "/one/x"); return status == http.StatusOK })
+			text, err := os.ReadFile(a.path())
+			So(err, ShouldBeNil)
+			So(os.WriteFile(a.path(), []byte(strings.Replace(string(text), "drain-s = 6", "drain-s = 1", 1)), 0o600), ShouldBeNil)
+			a.node.Reload()
+			a.hangs.Store(true)
+			status := make(chan int, 1)
+			go func() {
+				got, _ := a.get("second", path)
+				status <- got
+			}()
+			waitFor(func() bool {
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				return a.executions["second"] == 1
+			})
+			a.node.Stop()
+			So(a.node.ingress.Active(), ShouldEqual, 0)
+			So(<-status, ShouldEqual, http.StatusBadGateway)
+		})
+	}
+}
+
 // Guards against a version that is taken for the one read before because a store that
 // was restored from a copy has given out its revision again.
 func TestPlanIsReadAfterARestoreGaveOutItsRevisionAgain(t *testing.T) {
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -285,18 +285,16 @@
 func (n *Node) Stop() {
 	started := time.Now()
 	n.stopping.Store(true)
-	limit := n.settings.Load().Drain - drainReserve
-	abortAfter := limit - abortReserve
+	abortAfter := n.settings.Load().Drain - drainReserve - abortReserve
 	n.ingress.Drain(n.clock()+drainNotice, n.clock()+abortAfter)
 	n.directory.ReportNow()
 	eventStopping.Log(n.logger, "calls", n.ingress.Active())
-	aborted := false
-	for time.Since(started) < limit && !(time.Since(started) > drainNotice && n.closeIfDrained()) {
-		if !aborted && time.Since(started) > abortAfter {
-			aborted = true
-			n.abortCalls()
-		}
-		time.Sleep(drainPollInterval)
+	if !n.awaitDrained(started, func() bool { return time.Since(started) <= abortAfter }) {
+		n.abortCalls()
+		// The number of checks bounds the wait, because a process that was delayed beyond
+		// the limit still has to write the responses.
+		checks := abortReserve / drainPollInterval
+		n.awaitDrained(started, func() bool { checks--; return checks >= 0 })
 	}
 	eventStopped.Log(n.logger, "calls", n.ingress.Active(), "took_ms", time.Since(started).Milliseconds())
 	n.cancel()
@@ -307,6 +305,18 @@
 	n.closeListeners()
 }
 
+// awaitDrained waits until the node is drained. It reports false if continues did so
+// before.
+func (n *Node) awaitDrained(started time.Time, continues func() bool) bool {
+	for continues() {
+		if time.Since(started) > drainNotice && n.closeIfDrained() {
+			return true
+		}
+		time.Sleep(drainPollInterval)
+	}
+	return false
+}
+
 // closeIfDrained closes the listener for calls if no call is in flight. It reports true
 // when the last connection of a client has ended after that.
 func (n *Node) closeIfDrained() bool {
