Revert "hostnode: check endpoints that may have drained before the process started"

An endpoint answers its health path with 503 also while it fails, and waits for a slot to answer at all. A host that starts again would keep such an endpoint out until it has recovered, though it may still serve most calls.

What remains: a host process that starts after its predecessor acknowledged that an endpoint leaves may register it again on a late announcement.

--- a/hostnode/control.go
+++ b/hostnode/control.go
@@ -40,11 +40,11 @@
 		http.Error(w, "malformed announcement", http.StatusBadRequest)
 		return
 	}
-	result := n.announce(a)
+	result := n.registration.Announce(a)
 	if result == localendpoint.Mismatched {
 		// The settings file may have changed without a signal.
 		n.reload()
-		result = n.announce(a)
+		result = n.registration.Announce(a)
 	}
 	switch result {
 	case localendpoint.Mismatched:
--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -29,7 +29,6 @@
 
 	eventAnnouncement         = events.Define(2520, hclog.Info, "endpoint announced itself or deregistered", "None; the verdict says what changed.")
 	eventAnnouncementRejected = events.Define(2521, hclog.Warn, "announcement rejected", "Compare the endpoint with the host's settings.")
-	eventEndpointUnchecked    = events.Define(2523, hclog.Info, "endpoint not registered", "None; it started before the host's process and did not state that it accepts calls. Its next announcement starts another check.")
 	eventEndpointRemoved      = events.Define(2522, hclog.Info, "endpoint removed", "None; nothing listens at its address, another endpoint does, or the settings name another one. Its next announcement registers it again.")
 
 	eventCallFinished  = events.Define(2530, hclog.Info, "call finished", "None.")
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -83,10 +83,6 @@
 	callsEnded chan struct{}
 	servers    []*http.Server
 	cancel     context.CancelFunc
-	// running ends with cancel.
-	running context.Context
-	// checkRuns is set while an endpoint is checked before it is registered.
-	checkRuns atomic.Bool
 	// linksClosed is closed when the links to the other hosts have ended.
 	linksClosed chan struct{}
 }
@@ -204,7 +200,7 @@
 func (n *Node) Start() error {
 	s := n.settings.Load()
 	ctx, cancel := context.WithCancel(context.Background())
-	n.running, n.cancel = ctx, cancel
+	n.cancel = cancel
 	calls, err := n.listen(s.Listen.Calls)
 	if err != nil {
 		return err
--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -86,9 +86,7 @@
 	lastDeregistered Announcement
 	// drained are the latest incarnations that have announced that they drain or have
 	// deregistered, whether or not they are or were current.
-	drained []incarnation
-	// latest is the incarnation that was registered last.
-	latest   incarnation
+	drained  []incarnation
 	onChange func(*Endpoint)
 }
 
@@ -98,9 +96,6 @@
 	startedAtMs int64
 }
 
-// firstSequence is the sequence of the first announcement of an incarnation.
-const firstSequence = 1
-
 // maxDrained bounds the drained incarnations that are kept. Announcements are a few
 // seconds late at most, in which an address changes hands only a few times.
 const maxDrained = 64
@@ -173,19 +168,29 @@
 
 // apply updates the current endpoint. It returns the endpoint that was replaced.
 func (r *Registration) apply(a Announcement) (AnnounceResult, *Endpoint) {
+	if !r.identity.matches(a) {
+		return Mismatched, nil
+	}
 	old := r.current
-	switch result := r.classify(a); result {
-	case Renewed:
+	switch {
+	case a.StartedAtMs < r.lastDeregistered.StartedAtMs, a.StartedAtMs == r.lastDeregistered.StartedAtMs && a.ID == r.lastDeregistered.ID:
+		return Stale, nil
+	case old != nil && a.ID == old.ID && a.StartedAtMs == old.StartedAtMs:
+		if a.Sequence <= old.Sequence {
+			return Stale, nil
+		}
 		return r.update(a)
-	case NewIncarnation:
-	default:
-		if result == Stale && a.Draining && !isSameIncarnation(a, old) {
+	case r.hasDrained(a):
+		return Stale, nil
+	case old == nil:
+	case a.StartedAtMs < old.StartedAtMs, a.StartedAtMs == old.StartedAtMs && a.ID != old.ID:
+		if a.Draining {
 			r.recordDrained(a.ID, a.StartedAtMs)
 		}
-		return result, nil
+		return Stale, nil
 	}
 	e := r.newEndpoint(a)
-	r.current, r.latest = e, incarnation{a.ID, a.StartedAtMs}
+	r.current = e
 	if a.Draining {
 		r.recordDrained(a.ID, a.StartedAtMs)
 		e.Queue.Close(reasonDraining)
@@ -193,42 +198,6 @@
 	return NewIncarnation, old
 }
 
-// classify returns the result that an announcement has, which may still be DrainStarted
-// in place of Renewed.
-func (r *Registration) classify(a Announcement) AnnounceResult {
-	old := r.current
-	switch {
-	case !r.identity.matches(a):
-		return Mismatched
-	case a.StartedAtMs < r.lastDeregistered.StartedAtMs, a.StartedAtMs == r.lastDeregistered.StartedAtMs && a.ID == r.lastDeregistered.ID:
-		return Stale
-	case isSameIncarnation(a, old):
-		if a.Sequence <= old.Sequence {
-			return Stale
-		}
-		return Renewed
-	case r.hasDrained(a):
-		return Stale
-	case old == nil:
-	case a.StartedAtMs < old.StartedAtMs, a.StartedAtMs == old.StartedAtMs && a.ID != old.ID:
-		return Stale
-	}
-	return NewIncarnation
-}
-
-func isSameIncarnation(a Announcement, e *Endpoint) bool {
-	return e != nil && a.ID == e.ID && a.StartedAtMs == e.StartedAtMs
-}
-
-// NeedsCheck reports whether an announcement would register an endpoint that has run
-// for some time without an announcement to this process. An earlier process of the host
-// may have acknowledged that it drains.
-func (r *Registration) NeedsCheck(a Announcement) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !a.Draining && a.Sequence > firstSequence && r.latest != incarnation{a.ID, a.StartedAtMs} && r.classify(a) == NewIncarnation
-}
-
 // hasDrained reports whether the announced incarnation, or a later one with its ID, has
 // drained.
 func (r *Registration) hasDrained(a Announcement) bool {
