hostnode: log when a newer plan is reported and how long store calls took

A late plan could not be told apart: a host that does not learn of the version, one that does not ask for it, and one whose read of the store is in progress left the same lines. Event 2523 states the version, the active one and the age of the read in progress; events 2513 and 2514 state how long the call took.

--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -19,6 +19,7 @@
 	eventPlanActivated     = events.Define(2510, hclog.Info, "route plan activated", "None.")
 	eventPlanIgnored       = events.Define(2511, hclog.Debug, "older route plan ignored", "None; the store or a peer delivered a stale or late version.")
 	eventPlanRejected      = events.Define(2512, hclog.Error, "route plan rejected", "The previous plan stays active; correct the configuration.")
+	eventPlanReported      = events.Define(2523, hclog.Info, "newer route plan reported by a host", "None; the node asks that host for it. A long read of the store at that time is in reading_ms.")
 	eventPlanRequestFailed = events.Define(2517, hclog.Info, "route plan request to a peer failed", "None; the node reads the store instead.")
 	eventStoreUnavailable  = events.Define(2513, hclog.Warn, "store unavailable", "The node continues with the plan and the hosts that it knows; check the store.")
 	eventStoreRecovered    = events.Define(2514, hclog.Info, "store available again", "None.")
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -136,7 +136,7 @@
 		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate,
 		LocalStatus: n.statusReport, PlanDelta: n.planKeeper.deltaFrom, OnPlan: n.planKeeper.activateDelta,
 		OnPlanReport: func(from mesh.HostID, version uint64, read plansync.Stamp, storeEpoch uint64) {
-			n.planKeeper.tracker.RecordReport(from, version, read, storeEpoch, n.clock())
+			n.planKeeper.recordReport(from, version, read, storeEpoch)
 		},
 	})
 	n.registrar = &registrar{
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -60,6 +60,11 @@
 	// recent holds the latest active plans, as bases of deltas.
 	recent []*routeplan.Plan
 
+	// readBegan is when the read in progress began, 0 when there is none.
+	readBegan atomic.Int64
+	// newestReported is the newest version that a peer has reported.
+	newestReported atomic.Uint64
+
 	monitor storeMonitor
 }
 
@@ -77,14 +82,15 @@
 	unavailable atomic.Bool
 }
 
-func (m *storeMonitor) observe(err error) {
+// observe records a use of the store and how long it took.
+func (m *storeMonitor) observe(took time.Duration, err error) {
 	switch {
 	case err == nil:
 		if m.unavailable.CompareAndSwap(true, false) {
-			eventStoreRecovered.Log(m.logger, "use", m.use)
+			eventStoreRecovered.Log(m.logger, "use", m.use, "took_ms", took.Milliseconds())
 		}
 	case m.unavailable.CompareAndSwap(false, true):
-		eventStoreUnavailable.Log(m.logger, "use", m.use, "reason", platform.Reason(err), "error", err)
+		eventStoreUnavailable.Log(m.logger, "use", m.use, "took_ms", took.Milliseconds(), "reason", platform.Reason(err), "error", err)
 	}
 }
 
@@ -194,13 +200,30 @@
 	}
 }
 
+// recordReport records what a peer reports about its plan.
+func (k *planKeeper) recordReport(from mesh.HostID, version uint64, read plansync.Stamp, storeEpoch uint64) {
+	now := k.clock()
+	k.tracker.RecordReport(from, version, read, storeEpoch, now)
+	known := k.newestReported.Load()
+	if version <= max(known, k.activeVersion()) || !k.newestReported.CompareAndSwap(known, version) {
+		return
+	}
+	readMs := int64(0)
+	if began := k.readBegan.Load(); began != 0 {
+		readMs = (now - boottime.Time(began)).Milliseconds()
+	}
+	eventPlanReported.Log(k.logger, "host", from, "version", version, "active", k.activeVersion(), "reading_ms", readMs)
+}
+
 // read fetches the newest plan if it is not the one that this host read last.
 func (k *planKeeper) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, planReadTimeout)
 	defer cancel()
 	began := k.clock()
+	k.readBegan.Store(int64(began))
 	item, changed, err := k.store.ReadIfChanged(ctx, platform.ConfigKey, k.lastRead)
-	k.monitor.observe(err)
+	k.readBegan.Store(0)
+	k.monitor.observe(k.clock()-began, err)
 	if err != nil {
 		k.tracker.RecordFailedRead(k.clock())
 		return
--- a/hostnode/registrar.go
+++ b/hostnode/registrar.go
@@ -64,8 +64,9 @@
 func (r *registrar) run(ctx context.Context) {
 	lease, renewals := platform.Lease{}, 0
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := r.update(ctx, &lease, renewals)
-		r.monitor.observe(err)
+		r.monitor.observe(time.Since(began), err)
 		pause := renewRetryInterval
 		if err == nil {
 			renewals++
