hostnode: ask peers for a newer plan while a read of the store is in progress

Callers were served by an older version up to 3.9 s after a newer one had been acknowledged.

The read now runs beside the loop, which applies its result. TestPlanOfAPeerIsActivated- WhileAReadHangs failed before: the host without the store had not activated the version of its peer within 2 s.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -33,9 +33,11 @@
 // fixture is a store with nodes and endpoints beside them, all on loopback.
 type fixture struct {
 	system
-	store *standin.Store
-	dir   string
-	hosts []*fixtureHost
+	// network is nil for a fixture on loopback.
+	network *faultnet.Network
+	store   *standin.Store
+	dir     string
+	hosts   []*fixtureHost
 	// client sends announcements and calls.
 	client *http.Client
 	logger hclog.Logger
@@ -88,7 +90,7 @@
 		panic(err)
 	}
 	client := &http.Client{Transport: &http.Transport{DialContext: network.Dialer("127.0.0.3:1")}}
-	return &fixture{store: standin.NewOn(l), dir: t.TempDir(), client: client, logger: hclog.NewNullLogger(), system: system{
+	return &fixture{network: network, store: standin.NewOn(l), dir: t.TempDir(), client: client, logger: hclog.NewNullLogger(), system: system{
 		clock:        func() boottime.Time { return time.Since(began) },
 		openListener: func(_, address string) (net.Listener, error) { return network.Listen(address) },
 		dial:         network.Dialer("127.0.0.2:1"),
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -53,10 +53,11 @@
 	// heard its peers: a store that was restored from a copy may have an older plan than
 	// they have. Only run uses it.
 	first *firstPlan
+	// lastRead identifies the state of the store's plan that was read last. Only run uses
+	// it.
+	lastRead platform.Revision
 
 	mu sync.Mutex
-	// lastRead identifies the state of the store's plan that was read last.
-	lastRead platform.Revision
 	// recent holds the latest active plans, as bases of deltas.
 	recent []*routeplan.Plan
 
@@ -74,6 +75,14 @@
 	began boottime.Time
 }
 
+// planRead is the result of a read of the store.
+type planRead struct {
+	item    platform.Item
+	changed bool
+	began   boottime.Time
+	err     error
+}
+
 // storeMonitor logs when the store becomes unavailable for one use and when it
 // answers again.
 type storeMonitor struct {
@@ -170,10 +179,22 @@
 	return 0
 }
 
-// run keeps the plan current until ctx ends.
+// run keeps the plan current until ctx ends. A read of the store goes on beside it,
+// because peers may send a newer plan before the store answers.
 func (k *planKeeper) run(ctx context.Context) {
 	recoveries, epoch := uint64(0), uint64(0)
-	for sleep(ctx, planCheckInterval) {
+	ticker := time.NewTicker(planCheckInterval)
+	defer ticker.Stop()
+	reads, isReading := make(chan planRead, 1), false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-reads:
+			isReading = false
+			k.finishRead(r)
+		case <-ticker.C:
+		}
 		k.tracker.RecordEpoch(k.store.Epoch())
 		if latest := k.tracker.Epoch(); latest != epoch {
 			if epoch != 0 {
@@ -188,8 +209,10 @@
 		k.activateFirst()
 		switch action, host := k.tracker.Next(k.clock(), k.rank()); action {
 		case plansync.ReadStore:
-			if k.first == nil {
-				k.read(ctx)
+			if k.first == nil && !isReading {
+				isReading = true
+				known := k.lastRead
+				go func() { reads <- k.read(ctx, known) }()
 			}
 		case plansync.AskPeer:
 			if err := k.askPeer(host, k.activeVersion()); err != nil {
@@ -215,32 +238,37 @@
 	eventPlanReported.Log(k.logger, "host", from, "version", version, "active", k.activeVersion(), "reading_ms", readMs)
 }
 
-// read fetches the newest plan if it is not the one that this host read last.
-func (k *planKeeper) read(ctx context.Context) {
+// read fetches the newest plan if it is not the known one.
+func (k *planKeeper) read(ctx context.Context, known platform.Revision) planRead {
 	ctx, cancel := context.WithTimeout(ctx, planReadTimeout)
 	defer cancel()
-	began := k.clock()
-	k.readBegan.Store(int64(began))
-	item, changed, err := k.store.ReadIfChanged(ctx, platform.ConfigKey, k.lastRead)
+	r := planRead{began: k.clock()}
+	k.readBegan.Store(int64(r.began))
+	r.item, r.changed, r.err = k.store.ReadIfChanged(ctx, platform.ConfigKey, known)
 	k.readBegan.Store(0)
-	k.monitor.observe(k.clock()-began, err)
-	if err != nil {
+	k.monitor.observe(k.clock()-r.began, r.err)
+	return r
+}
+
+// finishRead applies the result of a read.
+func (k *planKeeper) finishRead(r planRead) {
+	if r.err != nil {
 		k.tracker.RecordFailedRead(k.clock())
 		return
 	}
-	k.lastRead = item.Revision
-	exists := item.Revision.Number != 0
+	k.lastRead = r.item.Revision
+	exists := r.item.Revision.Number != 0
 	if k.activeVersion() == 0 {
-		if changed && exists {
-			k.first = &firstPlan{item: item, began: began}
+		if r.changed && exists {
+			k.first = &firstPlan{item: r.item, began: r.began}
 		}
 		k.tracker.RecordNoPlan(k.clock())
 		return
 	}
-	if changed && exists {
-		k.activateItem(item)
+	if r.changed && exists {
+		k.activateItem(r.item)
 	}
-	k.recordRead(began, item.Revision.Epoch)
+	k.recordRead(r.began, r.item.Revision.Epoch)
 }
 
 // activateFirst activates the first plan of the store once the peers have been heard and
--- /dev/null
+++ b/hostnode/plan_test.go
@@ -0,0 +1,58 @@
+package hostnode
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/platform/standin"
+)
+
+// planDeadline is the time within which a new version must be active, as the settings of
+// the fixture state it.
+const planDeadline = 2 * time.Second
+
+// allHave returns whether all hosts reach each other and have activated a version.
+func (f *fixture) allHave(version uint64) bool {
+	for _, h := range f.hosts {
+		if h.node.planKeeper.activeVersion() != version || h.node.directory.HostCount() != len(f.hosts) {
+			return false
+		}
+	}
+	return true
+}
+
+// lateHosts writes a version and returns the hosts that have not activated it at the plan
+// deadline.
+func (f *fixture) lateHosts(version uint64) (late []string) {
+	f.store.Write(platform.ConfigKey, standin.Config(int(version), "one"))
+	time.Sleep(planDeadline)
+	for _, h := range f.hosts {
+		if h.node.planKeeper.activeVersion() < version {
+			late = append(late, h.name)
+		}
+	}
+	return late
+}
+
+// Guards against a host that does not ask its peers for a newer plan while the store does
+// not answer it.
+func TestPlanOfAPeerIsActivatedWhileAReadHangs(t *testing.T) {
+	inBubble(t, "the store answers the other host only", func(t *testing.T) {
+		f := newBubbleFixture(t)
+		defer f.close()
+		f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
+		const reader = "127.0.0.9:1"
+		shared := f.dial
+		f.dial = f.network.Dialer(reader)
+		f.addHost("host-a", "one") // Precedes the other host, and reads for both.
+		f.dial = shared
+		f.addHost("host-b", "one")
+		waitFor(func() bool { return f.allHave(4) })
+		f.network.Cut(reader, f.store.Address())
+		time.Sleep(700 * time.Millisecond)
+		So(f.lateHosts(9), ShouldBeEmpty)
+	})
+}
