--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -103,6 +103,10 @@
 }
 
 func (f *fixture) close() {
+	if f.network != nil {
+		f.network.Heal()
+		time.Sleep(time.Second) // Dials in progress end.
+	}
 	for _, h := range f.hosts {
 		if h.node != nil {
 			h.node.cancel()
--- a/hostnode/plan_test.go
+++ b/hostnode/plan_test.go
@@ -1,6 +1,7 @@
 package hostnode
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -56,3 +57,24 @@
 		So(f.lateHosts(9), ShouldBeEmpty)
 	})
 }
+
+// Guards against reads of the store that wait for connections that have gone silent.
+func TestPlanIsActiveInTimeAfterAllConnectionsWentSilent(t *testing.T) {
+	for _, names := range [][]string{{"host-a"}, {"host-a", "host-b", "host-c"}} {
+		inBubble(t, fmt.Sprintf("versions after each of three times, %d hosts", len(names)), func(t *testing.T) {
+			f := newBubbleFixture(t)
+			defer f.close()
+			f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
+			for _, name := range names {
+				f.addHost(name, "one")
+			}
+			waitFor(func() bool { return f.allHave(4) })
+			for i := range 3 {
+				time.Sleep(5 * time.Second)
+				f.network.Silence()
+				time.Sleep(time.Duration(i) * 300 * time.Millisecond)
+				So(f.lateHosts(uint64(9+i)), ShouldBeEmpty)
+			}
+		})
+	}
+}
--- a/transport/faultnet/faultnet.go
+++ b/transport/faultnet/faultnet.go
@@ -29,6 +29,8 @@
 	cuts      map[direction]bool
 	delays    map[direction]time.Duration
 	listeners map[string]*listener
+	// silenced is closed and replaced when the open connections go silent.
+	silenced chan struct{}
 	// changed is closed and replaced whenever a fault changes.
 	changed chan struct{}
 }
@@ -38,7 +40,7 @@
 	return &Network{
 		groups: map[string]string{}, cuts: map[direction]bool{},
 		delays: map[direction]time.Duration{}, listeners: map[string]*listener{},
-		changed: make(chan struct{}),
+		silenced: make(chan struct{}), changed: make(chan struct{}),
 	}
 }
 
@@ -77,6 +79,21 @@
 // Heal removes all cuts.
 func (n *Network) Heal() { n.update(func() { clear(n.cuts) }) }
 
+// Silence stops the traffic of all open connections for good, without closing them. New
+// ones are not affected.
+func (n *Network) Silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.silenced)
+	n.silenced = make(chan struct{})
+}
+
+func (n *Network) silenceSignal() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.silenced
+}
+
 // Delay sets the delay of every write from one group to another.
 func (n *Network) Delay(from, to string, d time.Duration) {
 	n.update(func() { n.delays[direction{from, to}] = d })
@@ -142,7 +159,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: inner, network: n, from: from, to: address, closed: make(chan struct{})}, nil
+		return &conn{Conn: inner, network: n, from: from, to: address, silenced: n.silenceSignal(), closed: make(chan struct{})}, nil
 	}
 }
 
@@ -152,12 +169,25 @@
 	net.Conn
 	network   *Network
 	from, to  string
+	silenced  <-chan struct{}
 	closeOnce sync.Once
 	closed    chan struct{}
 }
 
+// awaitTraffic waits until bytes may pass between two addresses. It returns net.ErrClosed
+// when the connection is closed first.
+func (c *conn) awaitTraffic(from, to string) error {
+	select {
+	case <-c.silenced:
+		<-c.closed
+		return net.ErrClosed
+	default:
+		return c.network.waitForTraffic(from, to, c.closed)
+	}
+}
+
 func (c *conn) Write(b []byte) (int, error) {
-	if err := c.network.waitForTraffic(c.from, c.to, c.closed); err != nil {
+	if err := c.awaitTraffic(c.from, c.to); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(b)
@@ -165,7 +195,7 @@
 
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if passErr := c.network.waitForTraffic(c.to, c.from, c.closed); passErr != nil {
+	if passErr := c.awaitTraffic(c.to, c.from); passErr != nil {
 		return 0, passErr
 	}
 	return n, err
