plansync: date a read by when it began, not by when its report arrives

Hosts take over reading the store when they know of no read for 0.9 s. A report that was in transit for long, or that was relayed, confirmed its read for another 0.9 s from its arrival, and hosts that were not disturbed had a version too late. Callers would be served by the older version.

Reports now state the age of the read and when they were sent. The receiver subtracts what the report was slower than the fastest frame of its link, as it does for calls. The read of a report that showed a newer version counts once that version is active, since no later report repeats it in time. Reports of older builds are dated by their arrival.

--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -311,7 +311,7 @@
 		Caller: f.Caller, Service: f.Service, Kind: f.Kind, Rank: f.Rank, Nested: f.Nested,
 		Remaining: f.Remaining, TargetRemaining: f.TargetRemaining, BodyBytes: f.BodyBytes,
 	}
-	delay := m.transitDelay(f.SentAt)
+	delay := m.TransitDelay(f.SentAt)
 	c.Remaining -= delay
 	c.TargetRemaining -= delay
 	ctx, cancel := context.WithCancel(context.Background())
@@ -340,9 +340,9 @@
 	return nil
 }
 
-// transitDelay estimates how long a frame took to arrive, relative to the fastest
+// TransitDelay estimates how long a frame took to arrive, relative to the fastest
 // frame so far.
-func (m *Mux) transitDelay(sentAt boottime.Time) boottime.Time {
+func (m *Mux) TransitDelay(sentAt boottime.Time) boottime.Time {
 	offset := m.clock() - sentAt
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -661,7 +661,7 @@
 		a := f.addHost("host-a", "one")
 		waitFor(func() bool {
 			for _, peer := range []mesh.HostID{"host-b", "host-c"} {
-				a.node.planKeeper.tracker.RecordReport(peer, 9, plansync.Stamp{}, 1, f.clock())
+				a.node.planKeeper.tracker.RecordReport(plansync.Report{From: peer, Version: 9, Read: plansync.Read{BeganAt: f.clock(), Epoch: 1}})
 			}
 			return a.node.planKeeper.activeVersion() == 4
 		})
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -135,9 +135,7 @@
 	n.directory = peers.New(peers.Config{
 		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate,
 		LocalStatus: n.statusReport, PlanDelta: n.planKeeper.deltaFrom, OnPlan: n.planKeeper.activateDelta,
-		OnPlanReport: func(from mesh.HostID, version uint64, read plansync.Stamp, storeEpoch uint64) {
-			n.planKeeper.recordReport(from, version, read, storeEpoch)
-		},
+		OnPlanReport: n.planKeeper.recordReport,
 	})
 	n.registrar = &registrar{
 		store: n.store, record: record, logger: logger, addHosts: n.directory.AddRecords,
@@ -166,10 +164,17 @@
 
 // statusReport returns the host's status for its peers.
 func (n *Node) statusReport() peers.Status {
-	read, epoch := n.planKeeper.tracker.LatestRead()
-	s := peers.Status{PlanVersion: n.planKeeper.activeVersion(), PlanRead: read, StoreEpoch: epoch, Draining: n.stopping.Load()}
+	now := n.clock()
+	read := n.planKeeper.tracker.LatestRead()
+	s := peers.Status{
+		SentAt: now, PlanVersion: n.planKeeper.activeVersion(), PlanRead: read.Stamp, StoreEpoch: read.Epoch,
+		Draining: n.stopping.Load(),
+	}
+	if read.Stamp.Number != 0 {
+		s.PlanReadAge = now - read.BeganAt
+	}
 	if e := n.registration.Current(); e != nil && !e.Draining {
-		load, now := e.Queue.Load(), n.clock()
+		load := e.Queue.Load()
 		s.Endpoint = &peers.EndpointStatus{
 			ID: e.ID, Service: e.Service, Slots: e.Slots, Running: load.Running, Waiting: load.Waiting,
 			MeanServiceTime: e.Queue.MeanServiceTime(now), FailurePercent: int(100 * e.Health.FailureRatio()), Cold: e.ColdUntil > now,
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -224,18 +224,17 @@
 }
 
 // recordReport records what a peer reports about its plan.
-func (k *planKeeper) recordReport(from mesh.HostID, version uint64, read plansync.Stamp, storeEpoch uint64) {
-	now := k.clock()
-	k.tracker.RecordReport(from, version, read, storeEpoch, now)
+func (k *planKeeper) recordReport(r plansync.Report) {
+	k.tracker.RecordReport(r)
 	known := k.newestReported.Load()
-	if version <= max(known, k.activeVersion()) || !k.newestReported.CompareAndSwap(known, version) {
+	if r.Version <= max(known, k.activeVersion()) || !k.newestReported.CompareAndSwap(known, r.Version) {
 		return
 	}
 	readMs := int64(0)
 	if began := k.readBegan.Load(); began != 0 {
-		readMs = (now - boottime.Time(began)).Milliseconds()
+		readMs = (k.clock() - boottime.Time(began)).Milliseconds()
 	}
-	eventPlanReported.Log(k.logger, "host", from, "version", version, "active", k.activeVersion(), "reading_ms", readMs)
+	eventPlanReported.Log(k.logger, "host", r.From, "version", r.Version, "active", k.activeVersion(), "reading_ms", readMs)
 }
 
 // read fetches the newest plan if it is not the known one.
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -76,10 +76,8 @@
 	PlanDelta func(have uint64) (routeplan.Delta, bool)
 	// OnPlan is called with a plan that a peer sent.
 	OnPlan func(plan routeplan.Delta, from mesh.HostID)
-	// OnPlanReport is called with the plan version that a peer reports, and the stamp
-	// of the latest store read that the peer knows to have returned it, and the latest
-	// epoch of the store that the peer knows.
-	OnPlanReport func(from mesh.HostID, version uint64, read plansync.Stamp, storeEpoch uint64)
+	// OnPlanReport is called with what a peer reports about its plan.
+	OnPlanReport func(plansync.Report)
 }
 
 // Peer is another host. Each placement reads its atomics without the directory's
@@ -276,6 +274,10 @@
 
 // handleStatus applies the status report of a peer.
 func (d *Directory) handleStatus(l *transport.Link, mux *callmux.Mux, s Status) {
+	readAt := d.config.Clock() - s.PlanReadAge
+	if s.SentAt != 0 {
+		readAt -= mux.TransitDelay(s.SentAt)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.peers[l.Peer()]
@@ -299,7 +301,9 @@
 		d.rebuildIndex()
 		d.logStatusChange(p, &s)
 	}
-	d.config.OnPlanReport(p.record.Load().Host, s.PlanVersion, s.PlanRead, s.StoreEpoch)
+	d.config.OnPlanReport(plansync.Report{From: p.record.Load().Host, Version: s.PlanVersion, Read: plansync.Read{
+		Stamp: s.PlanRead, BeganAt: readAt, Epoch: s.StoreEpoch,
+	}})
 }
 
 func (d *Directory) logStatusChange(p *Peer, s *Status) {
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -84,9 +84,9 @@
 			return routeplan.Delta{Base: have, Version: h.version.Load()}, true
 		},
 		OnPlan: func(d routeplan.Delta, _ mesh.HostID) { h.plans <- d },
-		OnPlanReport: func(_ mesh.HostID, version uint64, _ plansync.Stamp, _ uint64) {
+		OnPlanReport: func(r plansync.Report) {
 			select {
-			case h.planVersions <- version:
+			case h.planVersions <- r.Version:
 			default:
 			}
 		},
--- a/peers/types.go
+++ b/peers/types.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/plansync"
 )
@@ -74,6 +75,11 @@
 	// StoreEpoch is the latest known epoch of the store, in which PlanRead was made.
 	// It is 0 when it is not known, and in reports of earlier versions of the program.
 	StoreEpoch uint64 `cbor:"6,keyasint,omitempty"`
+	// PlanReadAge is the time from the beginning of that read to SentAt.
+	PlanReadAge time.Duration `cbor:"7,keyasint,omitempty"`
+	// SentAt is the sender's boot time, from which the receiver estimates how long the
+	// report was in transit. It is 0 in reports of earlier versions of the program.
+	SentAt boottime.Time `cbor:"8,keyasint,omitempty"`
 }
 
 // planRequest requests the active plan as a delta to the version that the
--- a/plansync/plansync.go
+++ b/plansync/plansync.go
@@ -56,10 +56,8 @@
 )
 
 // Stamp identifies a read of the store that showed which version is the newest.
-// Hosts pass stamps on in their status reports. The age of a read is counted from
-// when its stamp is first received: ages in the reports would leave out the time
-// that the reports are in flight, and hosts that get their own reports back would
-// take them for new reads.
+// Hosts pass stamps on in their status reports. Only the first report of a stamp counts,
+// so that hosts that get their own reports back do not take them for new reads.
 type Stamp struct {
 	_ struct{} `cbor:",toarray"`
 	// Reader names the host that read and its incarnation.
@@ -70,6 +68,23 @@
 	Recoveries uint64
 }
 
+// Read is the latest read that is known to have shown the active version.
+type Read struct {
+	Stamp Stamp
+	// BeganAt is when the read began, by the clock of this host.
+	BeganAt boottime.Time
+	// Epoch is the latest known epoch of the store, in which the read was made.
+	Epoch uint64
+}
+
+// Report is what a peer reports about its plan.
+type Report struct {
+	From    mesh.HostID
+	Version uint64
+	// Read is the latest read that the peer knows to have shown that version.
+	Read Read
+}
+
 // Tracker keeps track of how current the plan of a host is. It is safe for
 // concurrent use.
 type Tracker struct {
@@ -77,10 +92,13 @@
 
 	mu            sync.Mutex
 	activeVersion uint64
-	// confirmedAt is when the latest confirmation came that the active version is
-	// the newest, by the read with the stamp latestStamp.
+	// confirmedAt is when the latest read began that is known to have shown that the
+	// active version is the newest.
 	confirmedAt boottime.Time
-	latestStamp Stamp
+	// latestStamp and latestReadAt are the stamp and the beginning of the latest read that
+	// is known to have shown the active version.
+	latestStamp  Stamp
+	latestReadAt boottime.Time
 	// latestByReader holds the latest known stamp of each reader.
 	latestByReader map[string]Stamp
 	// recoveries counts how often this host or a known reader found the store
@@ -93,6 +111,9 @@
 	// newestKnown is the newest known version, reported by the host newestSource.
 	newestKnown  uint64
 	newestSource mesh.HostID
+	// pending is the report of the newest known version. Its read confirms that version
+	// once it is active.
+	pending      Report
 	asked        bool
 	askedAt      boottime.Time
 	noReadBefore boottime.Time
@@ -116,7 +137,11 @@
 	if version > t.activeVersion {
 		t.activeVersion = version
 		t.asked = false
-		t.latestStamp = Stamp{}
+		t.latestStamp, t.latestReadAt = Stamp{}, 0
+		epoch := t.pending.Read.Epoch
+		if t.pending.Version != 0 && t.pending.Version <= version && (epoch == 0 || epoch == t.epoch) {
+			t.confirm(t.pending.Read)
+		}
 	}
 }
 
@@ -136,7 +161,7 @@
 	}
 	if t.epoch != 0 {
 		t.recoveries++
-		t.latestStamp = Stamp{}
+		t.latestStamp, t.latestReadAt = Stamp{}, 0
 	}
 	t.epoch = epoch
 	return true
@@ -167,7 +192,7 @@
 	}
 	t.failures, t.noReadBefore = 0, 0
 	t.confirmedAt = max(t.confirmedAt, began)
-	t.latestByReader[t.self], t.latestStamp = own, own
+	t.latestByReader[t.self], t.latestStamp, t.latestReadAt = own, own, began
 	return true
 }
 
@@ -199,38 +224,44 @@
 	t.confirmedAt = max(t.confirmedAt, now)
 }
 
-// RecordReport records the status report of a peer: its active version, the stamp of
-// the latest read that it knows to have shown that version, and the latest epoch of the
-// store that it knows. A read of an earlier epoch confirms nothing.
-func (t *Tracker) RecordReport(from mesh.HostID, version uint64, stamp Stamp, epoch uint64, now boottime.Time) {
+// RecordReport records the report of a peer. A read of an earlier epoch confirms nothing.
+func (t *Tracker) RecordReport(r Report) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	isCurrent := t.recordEpoch(epoch)
+	isCurrent := t.recordEpoch(r.Read.Epoch)
+	if r.Version > t.activeVersion && r.Version >= t.pending.Version {
+		t.pending = r
+	}
 	switch {
-	case version == t.activeVersion && version != 0:
-		if !isCurrent {
-			return
-		}
-		known := t.latestByReader[stamp.Reader]
-		if stamp.Number <= known.Number {
-			return
-		}
-		if stamp.Recoveries > known.Recoveries {
-			t.recoveries++
-		}
-		t.latestByReader[stamp.Reader] = stamp
-		t.latestStamp, t.confirmedAt = stamp, now
-	case version > t.activeVersion && version > t.newestKnown:
-		t.newestKnown, t.newestSource = version, from
+	case r.Version == t.activeVersion && r.Version != 0 && isCurrent:
+		t.confirm(r.Read)
+	case r.Version > t.activeVersion && r.Version > t.newestKnown:
+		t.newestKnown, t.newestSource = r.Version, r.From
+	}
+}
+
+// confirm applies a read of another host that showed the active version, or an earlier
+// one. The caller holds the lock.
+func (t *Tracker) confirm(read Read) {
+	known := t.latestByReader[read.Stamp.Reader]
+	if read.Stamp.Number <= known.Number {
+		return
+	}
+	if read.Stamp.Recoveries > known.Recoveries {
+		t.recoveries++
+	}
+	t.latestByReader[read.Stamp.Reader] = read.Stamp
+	if read.BeganAt >= t.latestReadAt {
+		t.latestStamp, t.latestReadAt = read.Stamp, read.BeganAt
 	}
+	t.confirmedAt = max(t.confirmedAt, read.BeganAt)
 }
 
-// LatestRead returns the stamp of the latest read that is known to have shown the
-// active version, and the latest known epoch of the store, in which it was made.
-func (t *Tracker) LatestRead() (Stamp, uint64) {
+// LatestRead returns the latest read that is known to have shown the active version.
+func (t *Tracker) LatestRead() Read {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.latestStamp, t.epoch
+	return Read{Stamp: t.latestStamp, BeganAt: t.latestReadAt, Epoch: t.epoch}
 }
 
 // Recoveries returns how often this host, or a reader that it has reports of, read
--- a/plansync/plansync_test.go
+++ b/plansync/plansync_test.go
@@ -23,19 +23,17 @@
 	reads         int
 	storeRejects  func(host int) bool
 	isPartitioned func(a, b int) bool
-	// reportDelay is how long reports are in flight.
-	reportDelay time.Duration
-	inTransit   []report
+	// reportDelay is how long reports are in flight, and readerDelay how much longer those
+	// of the first host are.
+	reportDelay, readerDelay time.Duration
+	inTransit                []report
 }
 
 // report is a status report that arrives at due.
 type report struct {
-	due     time.Duration
-	to      *host
-	from    mesh.HostID
-	version uint64
-	stamp   plansync.Stamp
-	epoch   uint64
+	due time.Duration
+	to  *host
+	plansync.Report
 }
 
 // deliver passes the reports that are due to their receivers.
@@ -43,7 +41,7 @@
 	remaining := s.inTransit[:0]
 	for _, r := range s.inTransit {
 		if r.due <= s.now {
-			r.to.tracker.RecordReport(r.from, r.version, r.stamp, r.epoch, s.now)
+			r.to.tracker.RecordReport(r.Report)
 		} else {
 			remaining = append(remaining, r)
 		}
@@ -78,10 +76,14 @@
 
 func (s *simulation) report(from int) {
 	h := s.hosts[from]
-	stamp, epoch := h.tracker.LatestRead()
+	sent := plansync.Report{From: h.id, Version: h.version, Read: h.tracker.LatestRead()}
+	delay := s.reportDelay
+	if from == 0 {
+		delay += s.readerDelay
+	}
 	for i, other := range s.hosts {
 		if i != from && !s.isPartitioned(from, i) {
-			s.inTransit = append(s.inTransit, report{s.now + s.reportDelay, other, h.id, h.version, stamp, epoch})
+			s.inTransit = append(s.inTransit, report{s.now + delay, other, sent})
 		}
 	}
 }
@@ -207,6 +209,21 @@
 	})
 }
 
+// Guards against late reports of a read that make it look like a later one.
+func TestDelayedReportsDoNotKeepOthersFromReading(t *testing.T) {
+	for _, delay := range []time.Duration{700 * time.Millisecond, 1100 * time.Millisecond, 1400 * time.Millisecond} {
+		Convey(fmt.Sprint("the reports of the reading host are in flight for ", delay), t, func() {
+			s := newSimulation(11)
+			s.readerDelay = delay
+			s.run(5 * time.Second)
+			for range 20 {
+				s.run(250 * time.Millisecond)
+				So(s.propagationTime(func(i int) bool { return i != 0 }), ShouldBeLessThan, deadline)
+			}
+		})
+	}
+}
+
 // Guards against hosts that call an unavailable store too often, or that do not read
 // it again after its recovery.
 func TestStoreOutageCausesFewCalls(t *testing.T) {
@@ -288,7 +305,7 @@
 		tracker := plansync.New("self", deadline)
 		tracker.SetActiveVersion(5)
 		So(tracker.RecordRead(time.Second, 2), ShouldBeTrue)
-		tracker.RecordReport("peer", 5, plansync.Stamp{Reader: "peer", Number: 1}, 0, 2*time.Second)
+		tracker.RecordReport(plansync.Report{From: "peer", Version: 5, Read: plansync.Read{Stamp: plansync.Stamp{Reader: "peer", Number: 1}, BeganAt: 2 * time.Second, Epoch: 0}})
 		So(tracker.Recoveries(), ShouldEqual, 0)
 		action, _ := tracker.Next(2500*time.Millisecond, 1)
 		So(action, ShouldEqual, plansync.Wait)
@@ -302,7 +319,7 @@
 		tracker := plansync.New("self", deadline)
 		tracker.SetActiveVersion(5)
 		So(tracker.RecordRead(time.Second, 1), ShouldBeTrue)
-		tracker.RecordReport("peer", 7, plansync.Stamp{Reader: "peer", Number: 1}, 1, 1100*time.Millisecond)
+		tracker.RecordReport(plansync.Report{From: "peer", Version: 7, Read: plansync.Read{Stamp: plansync.Stamp{Reader: "peer", Number: 1}, BeganAt: 1100 * time.Millisecond, Epoch: 1}})
 		So(tracker.RecordRead(1050*time.Millisecond, 1), ShouldBeTrue)
 		action, from := tracker.Next(1200*time.Millisecond, 1)
 		So(action, ShouldEqual, plansync.AskPeer)
@@ -319,7 +336,7 @@
 	newTracker := func() *plansync.Tracker {
 		tracker := plansync.New("self", deadline)
 		tracker.SetActiveVersion(5)
-		tracker.RecordReport("peer", 5, plansync.Stamp{Reader: "peer", Number: 1}, 2, time.Second)
+		tracker.RecordReport(plansync.Report{From: "peer", Version: 5, Read: plansync.Read{Stamp: plansync.Stamp{Reader: "peer", Number: 1}, BeganAt: time.Second, Epoch: 2}})
 		return tracker
 	}
 	isDue := func(tracker *plansync.Tracker) bool {
@@ -328,9 +345,9 @@
 	}
 	Convey("a report of an earlier epoch", t, func() {
 		tracker := newTracker()
-		tracker.RecordReport("other", 5, plansync.Stamp{Reader: "other", Number: 1}, 1, 1900*time.Millisecond)
+		tracker.RecordReport(plansync.Report{From: "other", Version: 5, Read: plansync.Read{Stamp: plansync.Stamp{Reader: "other", Number: 1}, BeganAt: 1900 * time.Millisecond, Epoch: 1}})
 		So(isDue(tracker), ShouldBeTrue)
-		tracker.RecordReport("other", 6, plansync.Stamp{Reader: "other", Number: 1}, 1, 1900*time.Millisecond)
+		tracker.RecordReport(plansync.Report{From: "other", Version: 6, Read: plansync.Read{Stamp: plansync.Stamp{Reader: "other", Number: 1}, BeganAt: 1900 * time.Millisecond, Epoch: 1}})
 		action, from := tracker.Next(2*time.Second, 1)
 		So(action, ShouldEqual, plansync.AskPeer)
 		So(string(from), ShouldEqual, "other")
@@ -344,9 +361,9 @@
 	Convey("a stamp from before the restore is not passed on", t, func() {
 		tracker := newTracker()
 		tracker.RecordEpoch(3)
-		stamp, epoch := tracker.LatestRead()
-		So(stamp, ShouldResemble, plansync.Stamp{})
-		So(epoch, ShouldEqual, 3)
+		read := tracker.LatestRead()
+		So(read.Stamp, ShouldResemble, plansync.Stamp{})
+		So(read.Epoch, ShouldEqual, 3)
 		So(tracker.Recoveries(), ShouldEqual, 1)
 	})
 }
