--- a/transport/faultnet/faultnet.go
+++ b/transport/faultnet/faultnet.go
@@ -76,6 +76,11 @@
 	n.Cut(b, a)
 }
 
+// Restore removes the cut from one group to another.
+func (n *Network) Restore(from, to string) {
+	n.update(func() { delete(n.cuts, direction{from, to}) })
+}
+
 // Heal removes all cuts.
 func (n *Network) Heal() { n.update(func() { clear(n.cuts) }) }
 
