Keep calls to an endpoint within the rate that it names

Nothing read the header Server-Limit.

The node beside an endpoint is its only sender, so its gate sees every call of all hosts, retries and nested calls too, and counts exactly what hosts of callers could only guess. The slot queue now starts calls from a token bucket of the named rate. Calls that would miss their latency target while they wait are rejected at once with the retry-after of a full queue, spread over the client's time. Ranks keep their order, and clients keep their minimum share beside nested calls. The limit ends with the responses that no longer name it; the lowest rate is one call in two seconds, which shows when it does. Hosts report the rate, and placement counts on as many slots as it keeps busy.

TestEndpointGetsNoMoreCallsThanTheRateItNames failed before: 400 calls in 4 s, bound 44.

--- a/call/headers.go
+++ b/call/headers.go
@@ -17,6 +17,10 @@
 	// IdleTimeout is how long the endpoint keeps an idle connection open, 0 when it
 	// does not say.
 	IdleTimeout time.Duration
+	// CallsPerSecond is the rate of calls that the endpoint takes from all hosts together,
+	// valid if NamesRate.
+	CallsPerSecond float64
+	NamesRate      bool
 }
 
 // Headers reads and writes the headers of calls, whose names the platform defines.
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -58,6 +58,10 @@
 	longHead atomic.Bool
 	// hangs makes the endpoint execute calls until their connection closes.
 	hangs atomic.Bool
+	// rate is the rate of calls that the endpoint names in its responses, nil for none.
+	rate atomic.Pointer[string]
+	// arrivals are the times at which calls reached the endpoint.
+	arrivals []time.Time
 }
 
 // hostCounter counts the hosts of this process.
@@ -132,7 +136,11 @@
 	h.endpoint = &http.Server{Handler: standin.EndpointHandler(func(w http.ResponseWriter, r *http.Request, id, caller string) {
 		h.mu.Lock()
 		h.executions[id]++
+		h.arrivals = append(h.arrivals, time.Now())
 		h.mu.Unlock()
+		if rate := h.rate.Load(); rate != nil {
+			w.Header().Set("Server-Limit", *rate)
+		}
 		if h.hangs.Load() {
 			<-r.Context().Done()
 		}
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -178,6 +178,7 @@
 		s.Endpoint = &peers.EndpointStatus{
 			ID: e.ID, Service: e.Service, Slots: e.Slots, Running: load.Running, Waiting: load.Waiting,
 			MeanServiceTime: e.Queue.MeanServiceTime(now), FailurePercent: int(100 * e.Health.FailureRatio()), Cold: e.ColdUntil > now,
+			CallsPerSecond: e.Queue.StartsPerSecond(),
 		}
 	}
 	return s
--- a/hostnode/observe.go
+++ b/hostnode/observe.go
@@ -114,3 +114,8 @@
 	}
 	eventAttemptFailed.Log(o.logger, args...)
 }
+
+// RateNamed implements localendpoint.Observer.
+func (o *observer) RateNamed(e *localendpoint.Endpoint, callsPerSecond float64) {
+	eventEndpointRate.Log(o.logger, "endpoint", e.ID, "calls_per_s", callsPerSecond)
+}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -219,7 +219,7 @@
 		}
 		candidates = append(candidates, placement.Candidate{
 			SameDomain: p.FailureDomain() == s.forwarder.Domain, Slots: e.Slots, Occupied: p.Occupied(), MeanServiceTime: e.MeanServiceTime,
-			FailureRatio: float64(e.FailurePercent) / 100, Cold: e.Cold, Stale: p.Stale(), Excluded: s.excluded[p.Host()],
+			CallsPerSecond: e.CallsPerSecond, FailureRatio: float64(e.FailurePercent) / 100, Cold: e.Cold, Stale: p.Stale(), Excluded: s.excluded[p.Host()],
 		})
 		destinations = append(destinations, destination{p.Host(), p})
 	}
@@ -228,7 +228,7 @@
 		now := s.forwarder.Clock()
 		candidates = append(candidates, placement.Candidate{
 			SameDomain: true, Slots: e.Slots, Occupied: load.Running + load.Waiting, MeanServiceTime: e.Queue.MeanServiceTime(now),
-			FailureRatio: e.Health.FailureRatio(), Cold: e.ColdUntil > now, Excluded: s.excluded[localHost],
+			CallsPerSecond: e.Queue.StartsPerSecond(), FailureRatio: e.Health.FailureRatio(), Cold: e.ColdUntil > now, Excluded: s.excluded[localHost],
 		})
 		destinations = append(destinations, destination{localHost, s.forwarder.LocalGate})
 	}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -50,6 +50,8 @@
 }
 
 // Attempted implements localendpoint.Observer.
+func (ts *testServer) RateNamed(*localendpoint.Endpoint, float64) {}
+
 func (ts *testServer) Attempted(*call.Call, *localendpoint.Endpoint, call.Result, time.Duration, time.Duration) {
 }
 
--- a/localendpoint/gate.go
+++ b/localendpoint/gate.go
@@ -23,6 +23,9 @@
 	// time. The service time of a streamed response ends when the stream begins. The
 	// endpoint is nil if there is none.
 	Attempted(c *call.Call, e *Endpoint, r call.Result, queueDelay, serviceTime time.Duration)
+	// RateNamed is called when the endpoint begins to name a rate of calls that it takes,
+	// in calls per second, and with 0 when it no longer does.
+	RateNamed(e *Endpoint, callsPerSecond float64)
 }
 
 // Gate executes calls at the local endpoint, within its slots. It implements
@@ -172,6 +175,17 @@
 	e.Queue.Release(ticket, serviceTime, g.clock())
 }
 
+// recordRate applies the rate of calls that the endpoint names in a response, or its
+// absence.
+func (g *Gate) recordRate(e *Endpoint, info call.ResponseInfo) {
+	switch {
+	case info.NamesRate && e.Queue.NameStartLimit(info.CallsPerSecond, g.clock()):
+		g.observer.RateNamed(e, info.CallsPerSecond)
+	case !info.NamesRate && e.Queue.NameNoStartLimit(g.clock()):
+		g.observer.RateNamed(e, 0)
+	}
+}
+
 func (g *Gate) report(c *call.Call, e *Endpoint, r call.Result, queueDelay, serviceTime time.Duration) call.Result {
 	r.Load, r.HasLoad = e.Queue.Load(), true
 	g.observer.Attempted(c, e, r, queueDelay, serviceTime)
--- a/localendpoint/gate_test.go
+++ b/localendpoint/gate_test.go
@@ -114,6 +114,8 @@
 
 type nopObserver struct{}
 
+func (nopObserver) RateNamed(*localendpoint.Endpoint, float64) {}
+
 func (nopObserver) Attempted(*call.Call, *localendpoint.Endpoint, call.Result, time.Duration, time.Duration) {
 }
 
--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -213,9 +213,13 @@
 }
 
 func (r *Registration) newEndpoint(a Announcement) *Endpoint {
+	queue := slotqueue.New(a.Slots)
+	queue.SetWake(func(after time.Duration) {
+		time.AfterFunc(after, func() { queue.Dispatch(r.clock()) })
+	})
 	return &Endpoint{
 		Announcement: a, ColdUntil: r.clock() + a.ColdRemaining,
-		Queue: slotqueue.New(a.Slots), Health: NewHealth(r.clock), pool: newPool(a.Address, a.Slots, r.clock, r.Dial),
+		Queue: queue, Health: NewHealth(r.clock), pool: newPool(a.Address, a.Slots, r.clock, r.Dial),
 	}
 }
 
--- a/peers/types.go
+++ b/peers/types.go
@@ -58,6 +58,8 @@
 	// FailurePercent is the recent percentage of failed responses.
 	FailurePercent int  `cbor:"7,keyasint,omitempty"`
 	Cold           bool `cbor:"8,keyasint,omitempty"`
+	// CallsPerSecond is the rate of calls that the endpoint takes, 0 when it has named none.
+	CallsPerSecond float64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Status is what a host reports to its peers.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -67,6 +67,9 @@
 	Occupied int
 	// MeanServiceTime is the mean service time, 0 when unknown.
 	MeanServiceTime time.Duration
+	// CallsPerSecond is the rate of calls that the endpoint takes, 0 when it has named
+	// none.
+	CallsPerSecond float64
 	// FailureRatio is the recent fraction of failed answers, 0 to 1.
 	FailureRatio float64
 	Cold         bool
@@ -163,12 +166,17 @@
 	return c.MeanServiceTime == 0 && typical.mostKnown
 }
 
-// usableSlots returns the number of slots that the choice counts on.
+// usableSlots returns the number of slots that the choice counts on. An endpoint that
+// takes a limited rate of calls uses as many as this rate keeps busy.
 func (c *Candidate) usableSlots(typical estimate) float64 {
+	slots := float64(c.Slots)
 	if c.isOnTrial(typical) {
-		return math.Ceil(trialSlotsFraction * float64(c.Slots))
+		slots = math.Ceil(trialSlotsFraction * slots)
 	}
-	return float64(c.Slots)
+	if c.CallsPerSecond > 0 {
+		slots = min(slots, c.CallsPerSecond*c.serviceTime(typical)/float64(time.Second))
+	}
+	return slots
 }
 
 func (c *Candidate) serviceTime(typical estimate) float64 {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -30,6 +30,7 @@
 		"silent":           func(c *placement.Candidate) { c.Stale = true },
 		"tried before":     func(c *placement.Candidate) { c.Excluded = true },
 		"no slots":         func(c *placement.Candidate) { c.Slots = 0 },
+		"at its rate":      func(c *placement.Candidate) { c.CallsPerSecond, c.Occupied = 20, 3 },
 	} {
 		Convey("the local endpoint: "+name, t, func() {
 			c := local
--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -117,6 +117,12 @@
 	means       map[Class]*movingAverage
 	overallMean movingAverage
 	random      func() float64
+	// limit is nil while the endpoint names no rate of starts.
+	limit *startLimit
+	// wake has Dispatch called after a time; nil means that the user calls it. The next
+	// call is due at wakeAt.
+	wake   func(after time.Duration)
+	wakeAt boottime.Time
 }
 
 // movingAverage is the exponential moving average of service times.
@@ -149,6 +155,10 @@
 	return &Queue{slots: slots, means: map[Class]*movingAverage{}, random: rand.Float64}
 }
 
+// SetWake sets the function that has Dispatch called after a time. It must be set before
+// the first call is offered, and must not block.
+func (q *Queue) SetWake(wake func(after time.Duration)) { q.wake = wake }
+
 // Offer asks for a slot. It returns a ticket that has a slot or waits for one, or
 // a rejection. A slot must be released with Release.
 func (q *Queue) Offer(c Call, now boottime.Time) (*Ticket, *Rejection) {
@@ -163,7 +173,7 @@
 	}
 	q.arrivals++
 	t := &Ticket{call: c, arrival: q.arrivals, ready: make(chan bool, 1), preparing: c.Preparing}
-	if q.running < q.slots && !c.Preparing && q.nextToStart(now) < 0 {
+	if !c.Preparing && q.nextToStart(now) < 0 && q.mayStart(now) {
 		q.grantSlot(t)
 		return t, nil
 	}
@@ -221,7 +231,12 @@
 func (q *Queue) queueingDelay(ahead int, now boottime.Time) time.Duration {
 	slots := max(1, q.slots-q.nested)
 	free := max(0, q.slots-q.running)
-	return time.Duration(float64(max(0, ahead+1-free)) * float64(q.overallMean.valueAt(now)) / float64(slots))
+	delay := time.Duration(float64(max(0, ahead+1-free)) * float64(q.overallMean.valueAt(now)) / float64(slots))
+	if q.limit != nil {
+		q.limit.refill(now)
+		delay = max(delay, q.limit.delay(ahead+1))
+	}
+	return delay
 }
 
 // isLate reports whether the call would miss its latency target if it started now.
@@ -254,9 +269,12 @@
 	return a.arrival < b.arrival
 }
 
-// nestedAtLimit reports whether nested calls use all slots but the minimum share
-// of calls of clients, so that a call of a client goes next.
+// nestedAtLimit reports whether nested calls use all slots, or all starts, but the minimum
+// share of calls of clients, so that a call of a client goes next.
 func (q *Queue) nestedAtLimit() bool {
+	if q.limit != nil && q.limit.nestedShare >= 1-minClientShare {
+		return true
+	}
 	return float64(q.nested) >= (1-minClientShare)*float64(q.slots)
 }
 
@@ -271,6 +289,9 @@
 func (q *Queue) grantSlot(t *Ticket) {
 	t.waiting, t.hasSlot = false, true
 	q.running++
+	if q.limit != nil {
+		q.limit.spend(t.call.Class.Nested)
+	}
 	if t.call.Class.Nested {
 		q.nested++
 	}
@@ -300,7 +321,8 @@
 // dispatch gives the free slots to waiting calls and rejects those that can no
 // longer finish before their deadline.
 func (q *Queue) dispatch(now boottime.Time) {
-	for q.running < q.slots {
+	defer q.wakeForStart(now)
+	for q.mayStart(now) {
 		best := q.nextToStart(now)
 		if best < 0 {
 			return
