peers: tell a restarted host the rate that its endpoint has named

The other hosts know the rate from its reports. They state it in the first report on a new link, which arrives before their calls, and the node applies it to that endpoint until its first response.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -58,6 +58,8 @@
 	longHead atomic.Bool
 	// hangs makes the endpoint execute calls until their connection closes.
 	hangs atomic.Bool
+	// serviceTime is how long the endpoint executes a call.
+	serviceTime time.Duration
 	// rate is the rate of calls that the endpoint names in its responses, nil for none.
 	rate atomic.Pointer[string]
 	// arrivals are the times at which calls reached the endpoint.
@@ -138,6 +140,7 @@
 		h.executions[id]++
 		h.arrivals = append(h.arrivals, time.Now())
 		h.mu.Unlock()
+		time.Sleep(h.serviceTime)
 		if rate := h.rate.Load(); rate != nil {
 			w.Header().Set("Server-Limit", *rate)
 		}
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -136,6 +136,9 @@
 		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate,
 		LocalStatus: n.statusReport, PlanDelta: n.planKeeper.deltaFrom, OnPlan: n.planKeeper.activateDelta,
 		OnPlanReport: n.planKeeper.recordReport,
+		OnLimitedEndpoint: func(e peers.LimitedEndpoint) {
+			n.registration.ExpectRate(localendpoint.ExpectedRate{ID: e.ID, CallsPerSecond: e.CallsPerSecond})
+		},
 	})
 	n.registrar = &registrar{
 		store: n.store, record: record, logger: logger, addHosts: n.directory.AddRecords,
--- a/hostnode/rate_test.go
+++ b/hostnode/rate_test.go
@@ -1,6 +1,7 @@
 package hostnode
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -71,3 +72,43 @@
 		So(a.busiestSpan(ended.Add(time.Second), time.Second), ShouldBeGreaterThan, 90)
 	})
 }
+
+// Guards against a node that has forgotten, after a restart, the rate that its endpoint
+// names.
+func TestRateThatAnEndpointNamedOutlivesARestartOfItsNode(t *testing.T) {
+	inBubble(t, "calls of another host while the node restarts", func(t *testing.T) {
+		f := newBubbleFixture(t)
+		defer f.close()
+		f.store.Write(platform.ConfigKey, standin.Config(4, "one", "two"))
+		a, b := f.addHost("host-a", "one"), f.addHost("host-b", "two")
+		rate := "1.1"
+		a.rate.Store(&rate)
+		a.serviceTime = 150 * time.Millisecond
+		isLinked := func() bool { return f.allHave(4) && b.node.ready() && len(b.node.directory.ByService("one")) == 1 }
+		a.announce("one", "ready")
+		waitFor(isLinked)
+		var calls sync.WaitGroup
+		ctx, stop := context.WithCancel(context.Background())
+		calls.Go(func() {
+			for sleep(ctx, 10*time.Millisecond) {
+				calls.Go(func() { b.get(fmt.Sprint(time.Now().UnixNano()), "/one/") })
+			}
+		})
+		named := time.Now()
+		time.Sleep(8 * time.Second)
+		for range 3 {
+			a.node.cancel()
+			a.node.closeListeners()
+			a.node.store.CloseIdleConnections()
+			a.start()
+			time.Sleep(500 * time.Millisecond)
+			a.announce("one", "ready")
+			time.Sleep(time.Second)
+		}
+		time.Sleep(3 * time.Second)
+		stop()
+		calls.Wait()
+		So(isLinked(), ShouldBeTrue)
+		So(a.busiestSpan(named.Add(3*time.Second), 4*time.Second), ShouldBeLessThanOrEqualTo, 11) // 1.5 * 4 * 1.1 + 5
+	})
+}
--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -86,10 +86,18 @@
 	lastDeregistered Announcement
 	// drained are the latest incarnations that have announced that they drain or have
 	// deregistered, whether or not they are or were current.
-	drained  []incarnation
+	drained []incarnation
+	// expected is the rate that an endpoint named before this process started.
+	expected ExpectedRate
 	onChange func(*Endpoint)
 }
 
+// ExpectedRate is a rate of calls that an endpoint has named, as other hosts know it.
+type ExpectedRate struct {
+	ID             mesh.EndpointID
+	CallsPerSecond float64
+}
+
 // incarnation identifies an incarnation of an endpoint, and the earlier ones with its ID.
 type incarnation struct {
 	id          mesh.EndpointID
@@ -114,6 +122,17 @@
 	return r.TimeOfDay()
 }
 
+// ExpectRate applies a rate to the endpoint that is registered or will be, until its first
+// response.
+func (r *Registration) ExpectRate(rate ExpectedRate) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expected = rate
+	if r.current != nil && r.current.ID == rate.ID {
+		r.current.Queue.ExpectStartLimit(rate.CallsPerSecond, r.clock())
+	}
+}
+
 // SetIdentity replaces the configured identity. A current endpoint that does not
 // match it is removed.
 func (r *Registration) SetIdentity(identity Identity) {
@@ -217,6 +236,9 @@
 	queue.SetWake(func(after time.Duration) {
 		time.AfterFunc(after, func() { queue.Dispatch(r.clock()) })
 	})
+	if r.expected.ID == a.ID && a.ID != "" {
+		queue.ExpectStartLimit(r.expected.CallsPerSecond, r.clock())
+	}
 	return &Endpoint{
 		Announcement: a, ColdUntil: r.clock() + a.ColdRemaining,
 		Queue: queue, Health: NewHealth(r.clock), pool: newPool(a.Address, a.Slots, r.clock, r.Dial),
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -78,6 +78,9 @@
 	OnPlan func(plan routeplan.Delta, from mesh.HostID)
 	// OnPlanReport is called with what a peer reports about its plan.
 	OnPlanReport func(plansync.Report)
+	// OnLimitedEndpoint is called with the rate that the endpoint of this host has named
+	// before, as a peer knows it; nil ignores it.
+	OnLimitedEndpoint func(LimitedEndpoint)
 }
 
 // Peer is another host. Each placement reads its atomics without the directory's
@@ -87,6 +90,8 @@
 	// status is nil until the peer has reported.
 	status atomic.Pointer[Status]
 	mux    atomic.Pointer[callmux.Mux]
+	// lastEndpoint is the latest reported endpoint. It stays when the link is lost.
+	lastEndpoint atomic.Pointer[EndpointStatus]
 	// reportedCalls is the number of calls at the peer's gate by its latest report
 	// or result, and sentSinceReport the calls that this host has sent since.
 	reportedCalls   atomic.Int64
@@ -274,6 +279,9 @@
 
 // handleStatus applies the status report of a peer.
 func (d *Directory) handleStatus(l *transport.Link, mux *callmux.Mux, s Status) {
+	if s.LimitedEndpoint != nil && d.config.OnLimitedEndpoint != nil {
+		d.config.OnLimitedEndpoint(*s.LimitedEndpoint)
+	}
 	readAt := d.config.Clock() - s.PlanReadAge
 	if s.SentAt != 0 {
 		readAt -= mux.TransitDelay(s.SentAt)
@@ -294,6 +302,7 @@
 	p.status.Store(&s)
 	p.mux.Store(mux)
 	if s.Endpoint != nil {
+		p.lastEndpoint.Store(s.Endpoint)
 		p.reportedCalls.Store(int64(s.Endpoint.Running + s.Endpoint.Waiting))
 		p.sentSinceReport.Store(0)
 	}
--- a/peers/links.go
+++ b/peers/links.go
@@ -63,6 +63,12 @@
 	mux := callmux.NewMux(l, d.config.Local, d.config.Clock, d.bodyLimiter)
 	d.mu.Lock()
 	d.muxes[l] = mux
+	var limited *LimitedEndpoint
+	if p := d.peers[l.Peer()]; p != nil {
+		if e := p.lastEndpoint.Load(); e != nil && e.CallsPerSecond > 0 {
+			limited = &LimitedEndpoint{ID: e.ID, CallsPerSecond: e.CallsPerSecond}
+		}
+	}
 	// Calls are sent on the link that both hosts keep.
 	if p := d.peers[l.Peer()]; p != nil && d.manager.Link(l.Peer()) == l {
 		p.mux.Store(mux)
@@ -70,7 +76,7 @@
 	}
 	d.mu.Unlock()
 	status := d.config.LocalStatus()
-	status.Record = &d.config.Self
+	status.Record, status.LimitedEndpoint = &d.config.Self, limited
 	_ = l.Send(transport.KindHostStatus, status) // The queue of a new link has room.
 	eventPeerUp.Log(d.config.Logger, "host", l.Peer())
 }
--- a/peers/types.go
+++ b/peers/types.go
@@ -82,6 +82,17 @@
 	// SentAt is the sender's boot time, from which the receiver estimates how long the
 	// report was in transit. It is 0 in reports of earlier versions of the program.
 	SentAt boottime.Time `cbor:"8,keyasint,omitempty"`
+	// LimitedEndpoint is the endpoint of the receiver, if the sender knows that it has named
+	// a rate of calls. It is set only in the first report on a link: the receiver may have
+	// restarted.
+	LimitedEndpoint *LimitedEndpoint `cbor:"9,keyasint,omitempty"`
+}
+
+// LimitedEndpoint is an endpoint that takes a limited rate of calls.
+type LimitedEndpoint struct {
+	_              struct{} `cbor:",toarray"`
+	ID             mesh.EndpointID
+	CallsPerSecond float64
 }
 
 // planRequest requests the active plan as a delta to the version that the
--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -117,6 +117,8 @@
 	means       map[Class]*movingAverage
 	overallMean movingAverage
 	random      func() float64
+	// hasResponse is set when the endpoint has named a rate of starts or none.
+	hasResponse bool
 	// limit is nil while the endpoint names no rate of starts.
 	limit *startLimit
 	// wake has Dispatch called after a time; nil means that the user calls it. The next
--- a/slotqueue/startlimit.go
+++ b/slotqueue/startlimit.go
@@ -61,6 +61,21 @@
 func (q *Queue) NameStartLimit(perSecond float64, now boottime.Time) (began bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.hasResponse = true
+	return q.setStartLimit(perSecond, now)
+}
+
+// ExpectStartLimit limits the starts to a rate that the endpoint has named before, until
+// its first response.
+func (q *Queue) ExpectStartLimit(perSecond float64, now boottime.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.hasResponse {
+		q.setStartLimit(perSecond, now)
+	}
+}
+
+func (q *Queue) setStartLimit(perSecond float64, now boottime.Time) (began bool) {
 	perSecond = max(minStartsPerSecond, perSecond)
 	if q.limit == nil {
 		q.limit, began = &startLimit{tokens: 1, updatedAt: now}, true
@@ -77,6 +92,7 @@
 func (q *Queue) NameNoStartLimit(now boottime.Time) (ended bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.hasResponse = true
 	if q.limit == nil || now-q.limit.namedAt < startLimitHold {
 		return false
 	}
