Send no calls to an endpoint that has stated that it leaves

Nothing read the header Server-Leaving, so an endpoint whose announcement was late or lost went on getting calls.

The gate drains the endpoint with the first such response, as an announcement does, and remembers its incarnation. Hosts that pass the response on remember it too, because the node beside the endpoint may restart and hear a late announcement; reports state the start of an endpoint, so that a later incarnation is used.

--- a/call/headers.go
+++ b/call/headers.go
@@ -14,6 +14,8 @@
 	NotExecuted bool
 	// Stamped is set when the response has the signature of an endpoint.
 	Stamped bool
+	// Leaving is set when the endpoint states that it takes no further calls.
+	Leaving bool
 	// IdleTimeout is how long the endpoint keeps an idle connection open, 0 when it
 	// does not say.
 	IdleTimeout time.Duration
--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -32,6 +32,7 @@
 	eventAnnouncementRejected = events.Define(2521, hclog.Warn, "announcement rejected", "Compare the endpoint with the host's settings.")
 	eventEndpointRemoved      = events.Define(2522, hclog.Info, "endpoint removed", "None; nothing listens at its address, another endpoint does, or the settings name another one. Its next announcement registers it again.")
 	eventEndpointRate         = events.Define(2524, hclog.Info, "endpoint names or no longer names a rate of calls", "None; the gate starts no more calls than that. A rate of 0 means that there is no limit.")
+	eventEndpointLeaving      = events.Define(2525, hclog.Info, "endpoint states in a response that it leaves", "None; it gets no further calls.")
 
 	eventCallFinished  = events.Define(2530, hclog.Info, "call finished", "None.")
 	eventCallFailed    = events.Define(2531, hclog.Warn, "call failed", "The reason, the host of the last attempt and the gate's log line with the same ID lead to the cause; see docs/OPERATIONS.md.")
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -62,6 +62,8 @@
 	serviceTime time.Duration
 	// rate is the rate of calls that the endpoint names in its responses, nil for none.
 	rate atomic.Pointer[string]
+	// isLeaving makes the endpoint state in its responses that it leaves.
+	isLeaving atomic.Bool
 	// arrivals are the times at which calls reached the endpoint.
 	arrivals []time.Time
 }
@@ -141,6 +143,9 @@
 		h.arrivals = append(h.arrivals, time.Now())
 		h.mu.Unlock()
 		time.Sleep(h.serviceTime)
+		if h.isLeaving.Load() {
+			w.Header().Set("Server-Leaving", "1")
+		}
 		if rate := h.rate.Load(); rate != nil {
 			w.Header().Set("Server-Limit", *rate)
 		}
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -147,7 +147,7 @@
 	n.ingress = ingress.New(ingress.Config{
 		Plan: &n.plan, Headers: platform.Headers{}, Clock: clock, Observer: observer,
 		Forwarder: &ingress.Forwarder{
-			Domain: s.FailureDomain, Peers: n.directory, LocalGate: gate, Registration: n.registration, Clock: clock,
+			Domain: s.FailureDomain, Headers: platform.Headers{}, Peers: n.directory, LocalGate: gate, Registration: n.registration, Clock: clock,
 			RetryBudget: retrybudget.New(s.RetryBudget, clock, n.directory.HostCount),
 		},
 		LocalService: func() mesh.ServiceName { return n.settings.Load().Endpoint.Service },
@@ -181,7 +181,7 @@
 		s.Endpoint = &peers.EndpointStatus{
 			ID: e.ID, Service: e.Service, Slots: e.Slots, Running: load.Running, Waiting: load.Waiting,
 			MeanServiceTime: e.Queue.MeanServiceTime(now), FailurePercent: int(100 * e.Health.FailureRatio()), Cold: e.ColdUntil > now,
-			CallsPerSecond: e.Queue.StartsPerSecond(),
+			CallsPerSecond: e.Queue.StartsPerSecond(), StartedAtMs: e.StartedAtMs,
 		}
 	}
 	return s
--- a/hostnode/observe.go
+++ b/hostnode/observe.go
@@ -119,3 +119,8 @@
 func (o *observer) RateNamed(e *localendpoint.Endpoint, callsPerSecond float64) {
 	eventEndpointRate.Log(o.logger, "endpoint", e.ID, "calls_per_s", callsPerSecond)
 }
+
+// Leaving implements localendpoint.Observer.
+func (o *observer) Leaving(e *localendpoint.Endpoint) {
+	eventEndpointLeaving.Log(o.logger, "endpoint", e.ID, "started_at_ms", e.StartedAtMs)
+}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -36,6 +36,7 @@
 // Forwarder chooses endpoints for calls, sends the calls there and retries them.
 type Forwarder struct {
 	Domain       mesh.FailureDomain
+	Headers      call.Headers
 	Peers        *peers.Directory
 	LocalGate    *localendpoint.Gate
 	Registration *localendpoint.Registration
@@ -56,6 +57,9 @@
 type destination struct {
 	host   mesh.HostID
 	runner call.Runner
+	// markLeaving records that the endpoint has stated that it leaves; nil for the local
+	// one, whose gate does.
+	markLeaving func()
 }
 
 // callState is the state of a call across its attempts.
@@ -123,6 +127,9 @@
 	if r.Sent {
 		s.sentAttempts++
 	}
+	if r.Response != nil && next.markLeaving != nil && s.forwarder.Headers.ReadResponse(r.Response.Status, r.Response.Header).Leaving {
+		next.markLeaving()
+	}
 	switch {
 	case ctx.Err() != nil && r.Outcome != call.Answered:
 		return call.Result{Outcome: call.Expired, Reason: r.Reason, Sent: r.Sent}, false
@@ -214,14 +221,14 @@
 	destinations := make([]destination, 0, len(remotes)+1)
 	for _, p := range remotes {
 		e := p.Endpoint()
-		if e == nil {
+		if e == nil || p.IsLeaving(e) {
 			continue
 		}
 		candidates = append(candidates, placement.Candidate{
 			SameDomain: p.FailureDomain() == s.forwarder.Domain, Slots: e.Slots, Occupied: p.Occupied(), MeanServiceTime: e.MeanServiceTime,
 			CallsPerSecond: e.CallsPerSecond, FailureRatio: float64(e.FailurePercent) / 100, Cold: e.Cold, Stale: p.Stale(), Excluded: s.excluded[p.Host()],
 		})
-		destinations = append(destinations, destination{p.Host(), p})
+		destinations = append(destinations, destination{p.Host(), p, func() { p.MarkLeaving(e) }})
 	}
 	if e := s.forwarder.Registration.Current(); e != nil && !e.Draining && e.Service == s.c.Service {
 		load := e.Queue.Load()
@@ -230,7 +237,7 @@
 			SameDomain: true, Slots: e.Slots, Occupied: load.Running + load.Waiting, MeanServiceTime: e.Queue.MeanServiceTime(now),
 			CallsPerSecond: e.Queue.StartsPerSecond(), FailureRatio: e.Health.FailureRatio(), Cold: e.ColdUntil > now, Excluded: s.excluded[localHost],
 		})
-		destinations = append(destinations, destination{localHost, s.forwarder.LocalGate})
+		destinations = append(destinations, destination{localHost, s.forwarder.LocalGate, nil})
 	}
 	i := placement.Choose(candidates, placement.Call{TargetRemaining: s.c.TargetRemaining, BodyBytes: s.c.BodyBytes}, rand.Float64)
 	if i < 0 {
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -52,6 +52,8 @@
 // Attempted implements localendpoint.Observer.
 func (ts *testServer) RateNamed(*localendpoint.Endpoint, float64) {}
 
+func (ts *testServer) Leaving(*localendpoint.Endpoint) {}
+
 func (ts *testServer) Attempted(*call.Call, *localendpoint.Endpoint, call.Result, time.Duration, time.Duration) {
 }
 
@@ -139,7 +141,8 @@
 		Plan: &ts.plan, Headers: platform.Headers{}, Clock: ts.clock, Observer: ts, RunningCalls: gate.RunningCalls,
 		LocalService: func() mesh.ServiceName { return "s" },
 		Forwarder: &ingress.Forwarder{
-			Domain: "d", Peers: directory, LocalGate: gate, Registration: ts.registration, Clock: ts.clock,
+			Headers: platform.Headers{},
+			Domain:  "d", Peers: directory, LocalGate: gate, Registration: ts.registration, Clock: ts.clock,
 			RetryBudget: retrybudget.New(retrybudget.Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, ts.clock, func() int { return 1 }),
 		},
 	})
--- a/localendpoint/exchange.go
+++ b/localendpoint/exchange.go
@@ -292,7 +292,7 @@
 	if info.IdleTimeout > 0 {
 		x.conn.idleTimeout = info.IdleTimeout
 	}
-	x.gate.recordRate(x.endpoint, info)
+	x.gate.recordState(x.endpoint, info)
 	if info.NotExecuted {
 		return x.finishDeclined(response)
 	}
--- a/localendpoint/gate.go
+++ b/localendpoint/gate.go
@@ -26,6 +26,8 @@
 	// RateNamed is called when the endpoint begins to name a rate of calls that it takes,
 	// in calls per second, and with 0 when it no longer does.
 	RateNamed(e *Endpoint, callsPerSecond float64)
+	// Leaving is called when the endpoint first states in a response that it leaves.
+	Leaving(e *Endpoint)
 }
 
 // Gate executes calls at the local endpoint, within its slots. It implements
@@ -175,9 +177,12 @@
 	e.Queue.Release(ticket, serviceTime, g.clock())
 }
 
-// recordRate applies the rate of calls that the endpoint names in a response, or its
-// absence.
-func (g *Gate) recordRate(e *Endpoint, info call.ResponseInfo) {
+// recordState applies what the endpoint says of itself in a response: that it leaves, and
+// the rate of calls that it takes.
+func (g *Gate) recordState(e *Endpoint, info call.ResponseInfo) {
+	if info.Leaving && g.registration.Leave(e) {
+		g.observer.Leaving(e)
+	}
 	switch {
 	case info.NamesRate && e.Queue.NameStartLimit(info.CallsPerSecond, g.clock()):
 		g.observer.RateNamed(e, info.CallsPerSecond)
--- a/localendpoint/gate_test.go
+++ b/localendpoint/gate_test.go
@@ -116,6 +116,8 @@
 
 func (nopObserver) RateNamed(*localendpoint.Endpoint, float64) {}
 
+func (nopObserver) Leaving(*localendpoint.Endpoint) {}
+
 func (nopObserver) Attempted(*call.Call, *localendpoint.Endpoint, call.Result, time.Duration, time.Duration) {
 }
 
--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -288,6 +288,24 @@
 	return true
 }
 
+// Leave drains an endpoint that has stated in a response that it leaves. It reports false
+// when the endpoint has drained before or is not current.
+func (r *Registration) Leave(e *Endpoint) bool {
+	r.mu.Lock()
+	r.recordDrained(e.ID, e.StartedAtMs)
+	if r.current == nil || r.current.Queue != e.Queue || r.current.Draining {
+		r.mu.Unlock()
+		return false
+	}
+	next := *r.current
+	next.Draining = true
+	r.current = &next
+	r.mu.Unlock()
+	next.Queue.Close(reasonDraining)
+	r.onChange(&next)
+	return true
+}
+
 // RejectWaiting rejects the calls that wait for the current endpoint, and all further
 // ones, because the node stops.
 func (r *Registration) RejectWaiting() {
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -92,6 +92,9 @@
 	mux    atomic.Pointer[callmux.Mux]
 	// lastEndpoint is the latest reported endpoint. It stays when the link is lost.
 	lastEndpoint atomic.Pointer[EndpointStatus]
+	// leaving is the endpoint that last stated in a response that it leaves. Its host may
+	// have restarted since and not know it.
+	leaving atomic.Pointer[EndpointStatus]
 	// reportedCalls is the number of calls at the peer's gate by its latest report
 	// or result, and sentSinceReport the calls that this host has sent since.
 	reportedCalls   atomic.Int64
@@ -391,6 +394,16 @@
 	return nil
 }
 
+// MarkLeaving records that the endpoint has stated in a response that it leaves.
+func (p *Peer) MarkLeaving(e *EndpointStatus) { p.leaving.Store(e) }
+
+// IsLeaving reports whether the endpoint, or a later incarnation of it, has stated in a
+// response that it leaves.
+func (p *Peer) IsLeaving(e *EndpointStatus) bool {
+	l := p.leaving.Load()
+	return l != nil && l.ID == e.ID && e.StartedAtMs <= l.StartedAtMs
+}
+
 // Occupied estimates the number of calls at the peer's gate: those in its latest
 // report, plus those that this host has sent since.
 func (p *Peer) Occupied() int { return int(p.reportedCalls.Load() + p.sentSinceReport.Load()) }
--- a/peers/types.go
+++ b/peers/types.go
@@ -60,6 +60,9 @@
 	Cold           bool `cbor:"8,keyasint,omitempty"`
 	// CallsPerSecond is the rate of calls that the endpoint takes, 0 when it has named none.
 	CallsPerSecond float64 `cbor:"9,keyasint,omitempty"`
+	// StartedAtMs is the time of day at which the endpoint started. It orders the
+	// incarnations of an endpoint.
+	StartedAtMs int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Status is what a host reports to its peers.
