--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -108,6 +108,10 @@
 // seconds late at most, in which an address changes hands only a few times.
 const maxDrained = 64
 
+// maxStartAhead is how far the start of an endpoint may lie in the future, because times of
+// day jump by seconds. An endpoint with a later one would make every real one look older.
+const maxStartAhead = time.Hour
+
 // NewRegistration returns a registration without an endpoint. It calls onChange with
 // the endpoint after each change of its identity or state, with nil when there is
 // none; onChange must not block.
@@ -187,7 +191,7 @@
 
 // apply updates the current endpoint. It returns the endpoint that was replaced.
 func (r *Registration) apply(a Announcement) (AnnounceResult, *Endpoint) {
-	if !r.identity.matches(a) {
+	if !r.identity.matches(a) || a.StartedAtMs > r.timeOfDay().Add(maxStartAhead).UnixMilli() {
 		return Mismatched, nil
 	}
 	old := r.current
@@ -264,11 +268,15 @@
 }
 
 // Deregister drains the endpoint at its own request. The parameter startedAtMs is 0
-// when the endpoint does not state it. Deregister reports false when another
-// incarnation or none is current; late announcements do not register the endpoint in
+// when the endpoint does not state it. Deregister reports false and changes nothing when
+// it is in the future. It also reports false when another incarnation or none is current; late announcements do not register the endpoint in
 // that case either.
 func (r *Registration) Deregister(id mesh.EndpointID, startedAtMs int64) bool {
 	r.mu.Lock()
+	if startedAtMs > r.timeOfDay().Add(maxStartAhead).UnixMilli() {
+		r.mu.Unlock()
+		return false
+	}
 	e := r.current
 	if e == nil || e.ID != id || (startedAtMs != 0 && startedAtMs < e.StartedAtMs) {
 		if startedAtMs == 0 {
--- a/localendpoint/registration_test.go
+++ b/localendpoint/registration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -47,6 +48,13 @@
 			So(r.Announce(other), ShouldEqual, localendpoint.Mismatched)
 			So(string(r.Current().ID), ShouldEqual, "a")
 		})
+		Convey("a start in the future is not that of the endpoint", func() {
+			So(r.Announce(announcement("a", math.MaxInt64, 1)), ShouldEqual, localendpoint.Mismatched)
+			So(r.Deregister("a", math.MaxInt64), ShouldBeFalse)
+			So(r.Announce(announcement("a", 100, 3)), ShouldEqual, localendpoint.Renewed)
+			So(r.Current().Draining, ShouldBeFalse)
+			So(r.Announce(announcement("a", 300, 1)), ShouldEqual, localendpoint.NewIncarnation)
+		})
 		Convey("a draining endpoint stays draining after a later announcement", func() {
 			So(r.Announce(draining(announcement("a", 100, 3))), ShouldEqual, localendpoint.DrainStarted)
 			So(r.Announce(announcement("a", 100, 4)), ShouldEqual, localendpoint.Renewed)
