--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -31,7 +31,7 @@
 	eventAnnouncement         = events.Define(2520, hclog.Info, "endpoint announced itself or deregistered", "None; the verdict says what changed.")
 	eventAnnouncementRejected = events.Define(2521, hclog.Warn, "announcement rejected", "Compare the endpoint with the host's settings.")
 	eventEndpointRemoved      = events.Define(2522, hclog.Info, "endpoint removed", "None; nothing listens at its address, another endpoint does, or the settings name another one. Its next announcement registers it again.")
-	eventEndpointRate         = events.Define(2524, hclog.Info, "endpoint names or no longer names a rate of calls", "None; the gate starts no more calls than that. A rate of 0 means that there is no limit.")
+	eventEndpointRate         = events.Define(2524, hclog.Info, "endpoint names another rate of calls", "None; the gate starts no more calls than that. A rate of 0 means that there is no limit.")
 	eventEndpointLeaving      = events.Define(2525, hclog.Info, "endpoint states in a response that it leaves", "None; it gets no further calls.")
 
 	eventCallFinished  = events.Define(2530, hclog.Info, "call finished", "None.")
--- a/localendpoint/gate.go
+++ b/localendpoint/gate.go
@@ -23,8 +23,8 @@
 	// time. The service time of a streamed response ends when the stream begins. The
 	// endpoint is nil if there is none.
 	Attempted(c *call.Call, e *Endpoint, r call.Result, queueDelay, serviceTime time.Duration)
-	// RateNamed is called when the endpoint begins to name a rate of calls that it takes,
-	// in calls per second, and with 0 when it no longer does.
+	// RateNamed is called when the endpoint names another rate of calls that it takes, in
+	// calls per second, and with 0 when it no longer names one.
 	RateNamed(e *Endpoint, callsPerSecond float64)
 	// Leaving is called when the endpoint first states in a response that it leaves.
 	Leaving(e *Endpoint)
--- a/slotqueue/startlimit.go
+++ b/slotqueue/startlimit.go
@@ -57,8 +57,8 @@
 
 // NameStartLimit limits the starts of calls to the rate that the endpoint has named, per
 // second. The limit ends when later responses name none; see NameNoStartLimit. It reports
-// whether there was no limit before.
-func (q *Queue) NameStartLimit(perSecond float64, now boottime.Time) (began bool) {
+// whether the rate has changed.
+func (q *Queue) NameStartLimit(perSecond float64, now boottime.Time) (changed bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.hasResponse = true
@@ -75,16 +75,17 @@
 	}
 }
 
-func (q *Queue) setStartLimit(perSecond float64, now boottime.Time) (began bool) {
+func (q *Queue) setStartLimit(perSecond float64, now boottime.Time) (changed bool) {
 	perSecond = max(minStartsPerSecond, perSecond)
 	if q.limit == nil {
-		q.limit, began = &startLimit{tokens: 1, updatedAt: now}, true
+		q.limit = &startLimit{tokens: 1, updatedAt: now}
 	}
+	changed = q.limit.perSecond != perSecond
 	q.limit.refill(now)
 	q.limit.perSecond, q.limit.namedAt = perSecond, now
 	q.limit.tokens = min(q.limit.tokens, q.limit.burst())
 	q.dispatch(now)
-	return began
+	return changed
 }
 
 // NameNoStartLimit records a response that names no rate. It reports whether the limit
