soak: silent connections and endpoints that name a rate

Once in each seed all open connections between hosts and to the store go silent for good, and a new version follows within 0.6 s. The plans of the other faults of a seed are unchanged.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -69,6 +69,7 @@
 	writtenAt        time.Time
 	storeFaultyUntil time.Time
 	executions       map[string][]*execution
+	rateNamedAt      time.Time
 	failures         []string
 	// stalls are the times in which the test process itself was delayed.
 	stalls []string
@@ -95,6 +96,8 @@
 	endpoint   *http.Server
 	// dropFaults counts the active faults in which the endpoint drops responses.
 	dropFaults atomic.Int32
+	// rate is the rate of calls that the endpoint names, 0 for none.
+	rate atomic.Int64
 	// processMu serializes starting, stopping and signalling the process.
 	// stopExpected is set while the test ends the process.
 	processMu    sync.Mutex
@@ -228,6 +231,9 @@
 	if h.dropFaults.Load() > 0 && rand.IntN(3) == 0 {
 		panic(http.ErrAbortHandler)
 	}
+	if rate := h.rate.Load(); rate != 0 {
+		rw.Header().Set("Server-Limit", strconv.FormatInt(rate, 10))
+	}
 	response := fmt.Sprintf("%s %s %d%s", id, h.service, len(body), strings.Repeat(".", bytes))
 	if bytes%2 == 0 {
 		rw.Header().Set("Content-Length", strconv.Itoa(len(response))) // Others are sent in chunks if they are long.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -126,6 +127,23 @@
 	time.Sleep(duration)
 }
 
+// silenceStream is the random stream of silenceConnections.
+const silenceStream = 2
+
+// silenceConnections makes all open connections between hosts and to the store silent, at
+// a random time in the period after the planned work, and has a new version written soon
+// after.
+func (c *cluster) silenceConnections(random *rand.Rand, period time.Duration) {
+	time.Sleep(period/2 + time.Duration(random.Int64N(int64(period))))
+	for _, h := range c.hosts {
+		h.beginFault(false)()
+		h.peerProxy.silence()
+		h.storeProxy.silence()
+	}
+	time.Sleep(time.Duration(random.IntN(600)) * time.Millisecond)
+	c.writeVersion()
+}
+
 // isStoreFaultDue reports whether a fault of the store that was drawn is to be injected.
 // More hosts have more faults at a time, but only one store.
 func (c *cluster) isStoreFaultDue() bool {
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -31,8 +32,10 @@
 	faults  map[int][2]linkMode
 	lastID  int
 	changed chan struct{}
-	conns   map[net.Conn]bool
-	closed  bool
+	// silences counts how often the open connections went silent for good.
+	silences int
+	conns    map[net.Conn]bool
+	closed   bool
 }
 
 func newProxy(address, target string) *proxy {
@@ -70,19 +73,25 @@
 		return
 	}
 	p.conns[in], p.conns[out] = true, true
-	go p.copy(out, in, 0)
-	go p.copy(in, out, 1)
+	go p.copy(out, in, 0, p.silences)
+	go p.copy(in, out, 1, p.silences)
 }
 
-func (p *proxy) copy(to, from net.Conn, direction int) {
-	defer p.closeConns(to, from)
+// copy forwards the bytes of one direction. Opened is the number of silences before the
+// connection was opened; a silent connection passes neither bytes nor its end.
+func (p *proxy) copy(to, from net.Conn, direction, opened int) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		for {
 			p.mu.Lock()
-			mode, changed := p.mode(direction), p.changed
+			mode, changed, isSilent := p.mode(direction), p.changed, p.silences != opened
 			p.mu.Unlock()
+			if isSilent {
+				_, _ = io.Copy(io.Discard, from) // Ends with the connection.
+				p.closeConns(from)
+				return
+			}
 			if mode == delay {
 				time.Sleep(proxyDelay)
 			}
@@ -92,6 +101,7 @@
 			<-changed
 		}
 		if _, writeErr := to.Write(buffer[:n]); writeErr != nil || err != nil {
+			p.closeConns(to, from)
 			return
 		}
 	}
@@ -144,6 +154,14 @@
 	p.changed = make(chan struct{})
 }
 
+// silence makes all open connections silent for good. New ones are not affected.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silences++
+	p.announceChange()
+}
+
 // reset resets all open connections.
 func (p *proxy) reset() {
 	p.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -68,8 +68,8 @@
 // Guards against promises that hold only without faults: no call is executed twice,
 // a call reported as not executed was not executed, responses are complete and
 // belong to their calls, a new plan is active within planDeadline and is never
-// replaced by an older one, planned work loses no call, pipelined ones included, and
-// all services are available again within recoveryTimeout of the last fault.
+// replaced by an older one, planned work loses no call, pipelined ones included, an
+// endpoint gets no more calls than it takes, and all services are available again within recoveryTimeout of the last fault.
 func TestPromisesUnderFaults(t *testing.T) {
 	run := func(seed uint64, cause string) {
 		Convey(fmt.Sprintf("seed %d %s", seed, cause), t, func() {
@@ -105,8 +105,10 @@
 	if !c.awaitServing() {
 		return c.fail("start: not all hosts serve both services within %v", recoveryTimeout), c.summary()
 	}
+	c.limitRate(rand.New(rand.NewPCG(seed, rateStream)))
 	stopClients := c.startClients(seed)
 	var running sync.WaitGroup
+	running.Go(func() { c.silenceConnections(rand.New(rand.NewPCG(seed, silenceStream)), faultPeriod) })
 	running.Go(func() { c.injectPlannedWork(rand.New(rand.NewPCG(seed, plannedStream)), faultPeriod*3/2) })
 	time.Sleep(faultPeriod / 2)
 	c.injectFaults(faultPeriod)
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -294,6 +294,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.checkRate()
 	return c.failures
 }
 
