slotqueue, peers: bound rates and ages that a peer may send

A rate that is no number would have kept an endpoint without a start for good, and a negative age of a read would have dated it in the future. Both only by reading: no program sends them. Renamed: RecordStartLimit and RecordNoStartLimit.

--- a/localendpoint/gate.go
+++ b/localendpoint/gate.go
@@ -184,9 +184,9 @@
 		g.observer.Leaving(e)
 	}
 	switch {
-	case info.NamesRate && e.Queue.NameStartLimit(info.CallsPerSecond, g.clock()):
+	case info.NamesRate && e.Queue.RecordStartLimit(info.CallsPerSecond, g.clock()):
 		g.observer.RateNamed(e, info.CallsPerSecond)
-	case !info.NamesRate && e.Queue.NameNoStartLimit(g.clock()):
+	case !info.NamesRate && e.Queue.RecordNoStartLimit(g.clock()):
 		g.observer.RateNamed(e, 0)
 	}
 }
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -285,7 +285,7 @@
 	if s.LimitedEndpoint != nil && d.config.OnLimitedEndpoint != nil {
 		d.config.OnLimitedEndpoint(*s.LimitedEndpoint)
 	}
-	readAt := d.config.Clock() - s.PlanReadAge
+	readAt := d.config.Clock() - max(0, s.PlanReadAge)
 	if s.SentAt != 0 {
 		readAt -= mux.TransitDelay(s.SentAt)
 	}
--- a/slotqueue/startlimit.go
+++ b/slotqueue/startlimit.go
@@ -13,6 +13,8 @@
 	// minStartsPerSecond is the lowest rate. The responses to these calls show when the
 	// endpoint takes more.
 	minStartsPerSecond = 0.5
+	// maxStartsPerSecond is the highest rate, which is no limit for any endpoint.
+	maxStartsPerSecond = 1e6
 	// startLimitHold is how long a rate stays in force after the last response that named
 	// it. Responses that were made before and after a change may arrive in either order.
 	startLimitHold = 500 * time.Millisecond
@@ -55,10 +57,10 @@
 	l.nestedShare += nestedStartWeight * (sample - l.nestedShare)
 }
 
-// NameStartLimit limits the starts of calls to the rate that the endpoint has named, per
-// second. The limit ends when later responses name none; see NameNoStartLimit. It reports
+// RecordStartLimit limits the starts of calls to the rate that the endpoint has named, per
+// second. The limit ends when later responses name none; see RecordNoStartLimit. It reports
 // whether the rate has changed.
-func (q *Queue) NameStartLimit(perSecond float64, now boottime.Time) (changed bool) {
+func (q *Queue) RecordStartLimit(perSecond float64, now boottime.Time) (changed bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.hasResponse = true
@@ -76,7 +78,9 @@
 }
 
 func (q *Queue) setStartLimit(perSecond float64, now boottime.Time) (changed bool) {
-	perSecond = max(minStartsPerSecond, perSecond)
+	if perSecond = min(perSecond, maxStartsPerSecond); !(perSecond >= minStartsPerSecond) {
+		perSecond = minStartsPerSecond // Also for NaN, which a peer may have sent.
+	}
 	if q.limit == nil {
 		q.limit = &startLimit{tokens: 1, updatedAt: now}
 	}
@@ -88,9 +92,9 @@
 	return changed
 }
 
-// NameNoStartLimit records a response that names no rate. It reports whether the limit
+// RecordNoStartLimit records a response that names no rate. It reports whether the limit
 // ended with it.
-func (q *Queue) NameNoStartLimit(now boottime.Time) (ended bool) {
+func (q *Queue) RecordNoStartLimit(now boottime.Time) (ended bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.hasResponse = true
--- a/slotqueue/startlimit_test.go
+++ b/slotqueue/startlimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -53,9 +54,9 @@
 		if l.now >= end {
 			delete(l.running, t)
 			if perSecond >= 0 {
-				l.queue.NameStartLimit(perSecond, l.now)
+				l.queue.RecordStartLimit(perSecond, l.now)
 			} else {
-				l.queue.NameNoStartLimit(l.now)
+				l.queue.RecordNoStartLimit(l.now)
 			}
 			l.queue.Release(t, limitedServiceTime, l.now)
 		}
@@ -131,7 +132,7 @@
 	}
 	Convey("the rate is not used for a while", t, func() {
 		l := newLimitedLoad(18)
-		l.queue.NameStartLimit(20, l.now)
+		l.queue.RecordStartLimit(20, l.now)
 		for l.now < 5*time.Second {
 			l.step(20)
 		}
@@ -145,9 +146,23 @@
 		// The others would miss their latency target and are rejected at once.
 		So(l.rejections, ShouldBeBetween, 70, 90)
 	})
+	Convey("a rate that is no number", t, func() {
+		l := newLimitedLoad(18)
+		for _, rate := range []float64{math.NaN(), math.Inf(-1), math.Inf(1)} {
+			l.queue.ExpectStartLimit(rate, l.now)
+		}
+		l.queue.ExpectStartLimit(math.NaN(), l.now)
+		for l.now < 10*time.Second {
+			if l.now%(20*ms) == 0 {
+				l.offer(class(0, false))
+			}
+			l.step(-1)
+		}
+		So(len(l.allStarts()), ShouldBeGreaterThan, 300)
+	})
 	Convey("the limit ends with the responses that name none", t, func() {
 		l := newLimitedLoad(18)
-		l.queue.NameStartLimit(5, l.now)
+		l.queue.RecordStartLimit(5, l.now)
 		for l.now < 4*time.Second {
 			if l.now%(10*ms) == 0 {
 				l.offer(class(0, false))
@@ -167,7 +182,7 @@
 func TestCallsOfClientsKeepTheirShareOfTheRate(t *testing.T) {
 	Convey("nested calls alone exceed the rate", t, func() {
 		l := newLimitedLoad(18)
-		l.queue.NameStartLimit(20, l.now)
+		l.queue.RecordStartLimit(20, l.now)
 		for l.now < 20*time.Second {
 			if l.now%(20*ms) == 0 {
 				l.offer(class(0, true))
@@ -180,7 +195,7 @@
 	})
 	Convey("urgent calls go first", t, func() {
 		l := newLimitedLoad(18)
-		l.queue.NameStartLimit(20, l.now)
+		l.queue.RecordStartLimit(20, l.now)
 		for l.now < 20*time.Second {
 			if l.now%(60*ms) == 0 {
 				l.offer(class(0, false))
