--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -117,9 +117,7 @@
 	}
 	for _, h := range f.hosts {
 		if h.node != nil {
-			h.node.cancel()
-			h.node.closeListeners()
-			h.node.store.CloseIdleConnections()
+			h.kill()
 		}
 		_ = h.endpoint.Close()
 	}
@@ -164,6 +162,13 @@
 	return h
 }
 
+// kill ends the node without a stop.
+func (h *fixtureHost) kill() {
+	h.node.cancel()
+	h.node.closeListeners()
+	h.node.store.CloseIdleConnections()
+}
+
 func (h *fixtureHost) path() string { return filepath.Join(h.fixture.dir, h.name+".ini") }
 
 func (h *fixtureHost) writeSettings(service string) {
--- a/hostnode/leaving_test.go
+++ b/hostnode/leaving_test.go
@@ -29,9 +29,7 @@
 			status, _ = b.get("last", "/one/")
 			So(status, ShouldEqual, 200)
 			if restarts {
-				a.node.cancel()
-				a.node.closeListeners()
-				a.node.store.CloseIdleConnections()
+				a.kill()
 				a.start()
 				time.Sleep(2 * time.Second)
 				a.announce("one", "ready")
--- a/hostnode/plan_faults_test.go
+++ b/hostnode/plan_faults_test.go
@@ -192,9 +192,7 @@
 
 // restart kills the process of a host and starts it again.
 func (p *planFaults) restart(h *fixtureHost, host int) {
-	h.node.cancel()
-	h.node.closeListeners()
-	h.node.store.CloseIdleConnections()
+	h.kill()
 	p.dial = p.network.Dialer(fmt.Sprintf("127.0.1.%d:1", host+1))
 	time.Sleep(300 * time.Millisecond)
 	p.disturb(host, 0)
--- a/hostnode/rate_test.go
+++ b/hostnode/rate_test.go
@@ -97,9 +97,7 @@
 		named := time.Now()
 		time.Sleep(8 * time.Second)
 		for range 3 {
-			a.node.cancel()
-			a.node.closeListeners()
-			a.node.store.CloseIdleConnections()
+			a.kill()
 			a.start()
 			time.Sleep(500 * time.Millisecond)
 			a.announce("one", "ready")
