--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -268,9 +268,9 @@
 }
 
 // Deregister drains the endpoint at its own request. The parameter startedAtMs is 0
-// when the endpoint does not state it. Deregister reports false and changes nothing when
-// it is in the future. It also reports false when another incarnation or none is current; late announcements do not register the endpoint in
-// that case either.
+// when the endpoint does not state it. Deregister reports false when another
+// incarnation or none is current; late announcements do not register the endpoint in
+// that case either. It reports false and changes nothing when the start is in the future.
 func (r *Registration) Deregister(id mesh.EndpointID, startedAtMs int64) bool {
 	r.mu.Lock()
 	if startedAtMs > r.timeOfDay().Add(maxStartAhead).UnixMilli() {
