--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -151,27 +151,35 @@
 	return c
 }
 
-// Guards against status reports that programs of before and after the store's epoch
-// was added cannot exchange.
-func TestStatusReportsWithoutAStoreEpoch(t *testing.T) {
-	type statusWithoutEpoch struct {
-		PlanVersion uint64         `cbor:"2,keyasint,omitempty"`
-		PlanRead    plansync.Stamp `cbor:"5,keyasint"`
+// Guards against status reports that programs of before and after the later fields were
+// added cannot exchange.
+func TestStatusReportsWithoutLaterFields(t *testing.T) {
+	type earlierEndpoint struct {
+		ID mesh.EndpointID `cbor:"1,keyasint"`
+	}
+	type earlierStatus struct {
+		PlanVersion uint64           `cbor:"2,keyasint,omitempty"`
+		Endpoint    *earlierEndpoint `cbor:"4,keyasint,omitempty"`
+		PlanRead    plansync.Stamp   `cbor:"5,keyasint"`
 	}
 	read := plansync.Stamp{Reader: "a", Number: 3, Recoveries: 1}
-	Convey("a report without it has the epoch 0", t, func() {
-		frame, err := cbor.Marshal(statusWithoutEpoch{PlanVersion: 7, PlanRead: read})
+	Convey("a report without them has an epoch, a read age and a time of 0", t, func() {
+		frame, err := cbor.Marshal(earlierStatus{PlanVersion: 7, PlanRead: read})
 		So(err, ShouldBeNil)
 		var s peers.Status
 		So(transport.Message{Body: frame}.Decode(&s), ShouldBeNil)
 		So(s, ShouldResemble, peers.Status{PlanVersion: 7, PlanRead: read})
 	})
-	Convey("a report with it keeps its other fields for programs that do not know it", t, func() {
-		frame, err := cbor.Marshal(peers.Status{PlanVersion: 7, PlanRead: read, StoreEpoch: 2})
+	Convey("a report with them keeps its other fields for programs that do not know them", t, func() {
+		frame, err := cbor.Marshal(peers.Status{
+			PlanVersion: 7, PlanRead: read, StoreEpoch: 2, PlanReadAge: time.Second, SentAt: time.Minute,
+			Endpoint:        &peers.EndpointStatus{ID: "e", CallsPerSecond: 6.5, StartedAtMs: 5},
+			LimitedEndpoint: &peers.LimitedEndpoint{ID: "f", CallsPerSecond: 1.5},
+		})
 		So(err, ShouldBeNil)
-		var s statusWithoutEpoch
+		var s earlierStatus
 		So(transport.Message{Body: frame}.Decode(&s), ShouldBeNil)
-		So(s, ShouldResemble, statusWithoutEpoch{PlanVersion: 7, PlanRead: read})
+		So(s, ShouldResemble, earlierStatus{PlanVersion: 7, PlanRead: read, Endpoint: &earlierEndpoint{ID: "e"}})
 	})
 }
 
