--- a/hostnode/plan_test.go
+++ b/hostnode/plan_test.go
@@ -38,8 +38,7 @@
 	return late
 }
 
-// Guards against a host that does not ask its peers for a newer plan while the store does
-// not answer it.
+// Guards against a host that asks no peer for a newer plan while the store does not answer.
 func TestPlanOfAPeerIsActivatedWhileAReadHangs(t *testing.T) {
 	inBubble(t, "the store answers the other host only", func(t *testing.T) {
 		f := newBubbleFixture(t)
--- a/hostnode/rate_test.go
+++ b/hostnode/rate_test.go
@@ -73,8 +73,7 @@
 	})
 }
 
-// Guards against a node that has forgotten, after a restart, the rate that its endpoint
-// names.
+// Guards against a restarted node that does not know the rate that its endpoint names.
 func TestRateThatAnEndpointNamedOutlivesARestartOfItsNode(t *testing.T) {
 	inBubble(t, "calls of another host while the node restarts", func(t *testing.T) {
 		f := newBubbleFixture(t)
--- a/hostnode/records_test.go
+++ b/hostnode/records_test.go
@@ -13,8 +13,7 @@
 	"geraniumnotch.example/geraniumnotch/platform/standin"
 )
 
-// Guards against a host that ends or no longer finds the others because of an entry of
-// another program among the host records.
+// Guards against a host that ends or loses the others because of a foreign host record.
 func TestHostsFindEachOtherBesideOddRecords(t *testing.T) {
 	inBubble(t, "records that are nested, truncated, or out of range", func(t *testing.T) {
 		f := newBubbleFixture(t)
--- a/localendpoint/repeated_test.go
+++ b/localendpoint/repeated_test.go
@@ -19,8 +19,7 @@
 	return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\n%sContent-Length: 4\r\n\r\nfull", id, extra)
 }
 
-// Guards against a call that is reported as not executed because the endpoint has written
-// an earlier refusal once more.
+// Guards against an earlier refusal, written once more, that rejects a call in execution.
 func TestRepeatedRefusalDoesNotRejectALaterCall(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -66,8 +65,7 @@
 	}
 }
 
-// Guards against a response that looks complete although the endpoint closed the
-// connection in the middle of its head.
+// Guards against a response that ends in the middle of its head and looks complete.
 func TestResponseThatEndsInItsHeadIsBroken(t *testing.T) {
 	for _, length := range []string{"Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n"} {
 		for _, kind := range []routeplan.Kind{routeplan.Idempotent, routeplan.AtMostOnce} {
--- a/slotqueue/startlimit_test.go
+++ b/slotqueue/startlimit_test.go
@@ -104,8 +104,7 @@
 	return most
 }
 
-// Guards against an endpoint that gets more calls than the rate it names, and against one
-// that gets fewer.
+// Guards against an endpoint that gets more calls than the rate it names, or fewer.
 func TestStartsStayWithinTheRateThatTheEndpointNames(t *testing.T) {
 	for _, perSecond := range []float64{0, 2.5, 20, 80} {
 		Convey(fmt.Sprint(perSecond, " a second, 150 offered"), t, func() {
