platform: keep the new header names in the adapter

The tests of the node and the soak set Server-Limit and Server-Leaving themselves: names of the platform's protocol outside platform/. The check of wire names did not know them. The tests check what they did before.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -142,10 +142,10 @@
 		h.mu.Unlock()
 		time.Sleep(h.serviceTime)
 		if h.isLeaving.Load() {
-			w.Header().Set("Server-Leaving", "1")
+			standin.StateLeaving(w.Header())
 		}
 		if rate := h.rate.Load(); rate != nil {
-			w.Header().Set("Server-Limit", *rate)
+			standin.NameRate(w.Header(), *rate)
 		}
 		if h.hangs.Load() {
 			<-r.Context().Done()
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -232,7 +232,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if rate := h.rate.Load(); rate != 0 {
-		rw.Header().Set("Server-Limit", strconv.FormatInt(rate, 10))
+		standin.NameRate(rw.Header(), strconv.FormatInt(rate, 10))
 	}
 	response := fmt.Sprintf("%s %s %d%s", id, h.service, len(body), strings.Repeat(".", bytes))
 	if bytes%2 == 0 {
