--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the harness of the scripts, with all stand-ins.
+set -e
+cd "$(dirname "$0")/.."
+go build -o target/review-harness ./review/harness
