--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,6 +17,7 @@
 // cases maps the name of a case to its function, which reports whether the rule held.
 var cases = map[string]func(w *world, trouble bool) bool{
 	"late-heartbeat": lateHeartbeat,
+	"spoiled-stamp":  spoiledStamp,
 }
 
 func main() {
