review: case 3, a request inside the body of another one is run

The ingress calls http.ReadRequest without the checks that the server of net/http makes of header names. A request with a space behind the name Content-Length counts as one without a body, and its body is read and run as the next request.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(w *world, trouble bool) bool{
 	"late-heartbeat": lateHeartbeat,
 	"spoiled-stamp":  spoiledStamp,
+	"smuggled":       smuggled,
 }
 
 func main() {
