review: case 2, a call late in a planned stop is broken off at its worker

A call that a running order makes 5.1 s after the SIGTERM is passed on and answered 502 by the node 0.3 s later while its worker is at work.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -19,6 +19,7 @@
 	"late-heartbeat": lateHeartbeat,
 	"spoiled-stamp":  spoiledStamp,
 	"smuggled":       smuggled,
+	"nested-late":    nestedLate,
 }
 
 func main() {
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -40,6 +40,9 @@
 	state    atomic.Value
 	// leaving is set from the moment at which the worker has said that it leaves.
 	leaving atomic.Bool
+	// call, if not nil, makes the calls of a run through the system and reports whether they
+	// succeeded.
+	call func(id string) bool
 	// garble, if not nil, may replace the answer.
 	garble func(w http.ResponseWriter, r *http.Request, id string) bool
 
@@ -183,12 +186,18 @@
 	case <-s.ended:
 		panic(http.ErrAbortHandler)
 	}
+	succeeded := s.call == nil || s.call(id)
 	s.world.mu.Lock()
 	s.world.runs[id][index].ended = time.Now()
 	s.world.mu.Unlock()
 	if s.garble != nil && s.garble(w, r, id) {
 		return
 	}
+	if !succeeded {
+		h.Set("Response-Stamp", "stamp-"+s.id)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	answer := answerBody(id, s.service, len(body))
 	h.Set("Response-Stamp", "stamp-"+s.id)
 	h.Set("Server-Load", fmt.Sprintf("%d,0,%d", len(s.slots), workerSlots))
