review: case 1, one header in ISO 8859-1 breaks off the calls on a link

Heads of requests go between hosts as CBOR text strings, which the decoder rejects if they are not UTF-8 (transport/frame.go); the receiving host then closes the link (peers/directory.go, onMessage).

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -20,7 +20,9 @@
 	path     string
 	body     string
 	deadline time.Duration
-	sent     time.Time
+	// extra holds further header lines.
+	extra string
+	sent  time.Time
 	// written is set when the whole request was written.
 	written bool
 	// status is 0 without an answer.
@@ -41,7 +43,7 @@
 	if q.body != "" {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(q.body))
 	}
-	return text + "\r\n"
+	return text + q.extra + "\r\n"
 }
 
 // client is a connection of a client.
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -20,6 +20,7 @@
 	"spoiled-stamp":  spoiledStamp,
 	"smuggled":       smuggled,
 	"nested-late":    nestedLate,
+	"latin-header":   latinHeader,
 }
 
 func main() {
