--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -74,7 +74,7 @@
 	}
 	response, err := http.ReadResponse(c.r, &http.Request{Method: q.method})
 	if err == nil {
-		q.status, q.stamp = response.StatusCode, response.Header.Get("Response-Stamp")
+		q.status, q.stamp = response.StatusCode, response.Header.Get(wire.Stamp)
 		q.answer, err = io.ReadAll(response.Body)
 	}
 	q.err, q.answered = err, time.Now()
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -107,7 +107,7 @@
 // heartbeat returns the next heartbeat.
 func (s *worker) heartbeat() message {
 	return message{"/instances/" + s.id + "/heartbeat", fmt.Sprintf(
-		`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":%q,"sequence":%d,"cold-remaining-ms":0}}`,
+		wire.Heartbeat,
 		s.machine.app, s.born, s.service, s.zone, workerSlots, s.state.Load(), s.sequence.Add(1))}
 }
 
@@ -137,10 +137,10 @@
 
 // ServeHTTP runs a request.
 func (s *worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Request-Id")
+	id := r.Header.Get(wire.RequestID)
 	h := w.Header()
 	h["Date"] = nil
-	h.Set("Instance-Id", s.id)
+	h.Set(wire.InstanceID, s.id)
 	if s.leaving.Load() {
 		h.Set("Connection", "close")
 	}
@@ -150,13 +150,13 @@
 		}
 		return
 	}
-	h.Set("Request-Id", id)
+	h.Set(wire.RequestID, id)
 	reject := func(status int) {
-		h.Set("Not-Executed", "1")
-		h.Set("Response-Stamp", "stamp-"+s.id)
+		h.Set(wire.NotExecuted, "1")
+		h.Set(wire.Stamp, "stamp-"+s.id)
 		w.WriteHeader(status)
 	}
-	expected := r.Header.Get("Expect-Instance")
+	expected := r.Header.Get(wire.ExpectInstance)
 	switch {
 	case id == "":
 		reject(http.StatusBadRequest)
@@ -174,9 +174,9 @@
 	}
 	defer func() { <-s.slots }()
 	began := time.Now()
-	s.world.note("request %s runs at %s, connection %s, caller %s, deadline %s", id, s.id, r.RemoteAddr, r.Header.Get("Caller-Service"), r.Header.Get("Deadline-Ms"))
+	s.world.note("request %s runs at %s, connection %s, caller %s, deadline %s", id, s.id, r.RemoteAddr, r.Header.Get(wire.CallerService), r.Header.Get(wire.Deadline))
 	body, err := io.ReadAll(r.Body)
-	entry := run{worker: s, began: began, bodyBytes: len(body), method: r.Method, path: r.URL.RequestURI(), caller: r.Header.Get("Caller-Service"), incomplete: err != nil}
+	entry := run{worker: s, began: began, bodyBytes: len(body), method: r.Method, path: r.URL.RequestURI(), caller: r.Header.Get(wire.CallerService), incomplete: err != nil}
 	s.world.mu.Lock()
 	index := len(s.world.runs[id])
 	s.world.runs[id] = append(s.world.runs[id], entry)
@@ -194,13 +194,13 @@
 		return
 	}
 	if !succeeded {
-		h.Set("Response-Stamp", "stamp-"+s.id)
+		h.Set(wire.Stamp, "stamp-"+s.id)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	answer := answerBody(id, s.service, len(body))
-	h.Set("Response-Stamp", "stamp-"+s.id)
-	h.Set("Server-Load", fmt.Sprintf("%d,0,%d", len(s.slots), workerSlots))
+	h.Set(wire.Stamp, "stamp-"+s.id)
+	h.Set(wire.ServerLoad, fmt.Sprintf("%d,0,%d", len(s.slots), workerSlots))
 	h.Set("Content-Length", strconv.Itoa(len(answer)))
 	_, _ = w.Write(answer) // The node may have closed the connection.
 }
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -42,7 +42,7 @@
 	seen := map[string]bool{}
 	for i, r := range routes {
 		entries = append(entries, map[string]any{
-			"name": fmt.Sprintf("r%d", i), "host": routeHost, "path-prefix": r.prefix, "route-type": r.kind, "timeout-ms": r.timeout.Milliseconds(),
+			"name": fmt.Sprintf("r%d", i), "host": routeHost, "path-prefix": r.prefix, wire.RouteKind: r.kind, "timeout-ms": r.timeout.Milliseconds(),
 			"target-latency-ms": r.target.Milliseconds(), "priority": i, "service": r.service, "max-attempts": 2,
 		})
 		if !seen[r.service] {
