--- a/review/harness/latin.go
+++ b/review/harness/latin.go
@@ -60,5 +60,9 @@
 	w.say("the order with the header %q: status %d, stamp %q, error %v", named.extra, named.status, named.stamp, named.err)
 	w.say("%d orders: %s", len(requests), statuses(requests))
 	w.say("%d orders that ran got an answer of the node in place of the worker's, %d of them while the worker was at work", ownAnswers, brokenOff)
-	return !trouble || brokenOff == 0
+	if !trouble {
+		w.say("there was no planned stop: the rule does not count them")
+		return true
+	}
+	return brokenOff == 0
 }
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -18,7 +18,6 @@
 var cases = map[string]func(w *world, trouble bool) bool{
 	"late-heartbeat": lateHeartbeat,
 	"spoiled-stamp":  spoiledStamp,
-	"smuggled":       smuggled,
 	"nested-late":    nestedLate,
 	"latin-header":   latinHeader,
 }
--- a/review/harness/spoiled.go
+++ b/review/harness/spoiled.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Dose of the spoiled answers, that of the site's smallest garble (x = 0.02, for_s = 5.5).
+// Dose of the spoiled answers: x = 0.02, the default of garble, for the 5.5 s of the site.
 const (
 	spoiledEvery = 50
 	spoiledTime  = 5500 * time.Millisecond
@@ -25,14 +25,14 @@
 	w.startWorker(second, "i-pedidos-2", 100*time.Millisecond)
 	var from atomic.Int64
 	var answers, spoiled atomic.Int64
-	p1.garble = func(rw http.ResponseWriter, _ *http.Request, id string) bool {
+	p1.garble = func(rw http.ResponseWriter, r *http.Request, id string) bool {
 		began := from.Load()
 		if began == 0 || time.Since(time.UnixMilli(began)) > spoiledTime || answers.Add(1)%spoiledEvery != 0 {
 			return false
 		}
 		spoiled.Add(1)
 		w.note("worker %s spoils the answer to %s", p1.id, id)
-		p1.answerUnstamped(rw, id)
+		p1.answerUnstamped(rw, id, int(r.ContentLength))
 		return true
 	}
 	time.Sleep(leadTime)
@@ -58,10 +58,11 @@
 
 // answerUnstamped writes an answer in whose head the name of the stamp's header has a wrong
 // byte.
-func (s *worker) answerUnstamped(rw http.ResponseWriter, id string) {
+func (s *worker) answerUnstamped(rw http.ResponseWriter, id string, bodyBytes int) {
 	h := rw.Header()
 	h.Set("Response-Stbmp", "stamp-"+s.id)
-	answer := answerBody(id, s.service, 0)
+	h.Set(wire.ServerLoad, fmt.Sprintf("%d,0,%d", len(s.slots), workerSlots))
+	answer := answerBody(id, s.service, bodyBytes)
 	h.Set("Content-Length", fmt.Sprint(len(answer)))
 	_, _ = rw.Write(answer) // The node may have closed the connection.
 }
