Remember which endpoints have left across restarts of their node

What callers saw: an endpoint deregisters, its node acknowledges this and is restarted.

Cause: only the memory of the process held what it had acknowledged. Trace: event 2520 "deregistered" in_use=true, 2500 of the new process, 2520 "began" with the ID and start of the endpoint that had left, then 2402 at the other hosts. It is not that they use an older report: they log the new one first.

Change: a departure (ID and start of the incarnation) is kept in the store under the lease of the host's record, and by the other hosts, which send such an endpoint nothing and tell a new process of its host. The node writes it before the acknowledgement, for 0.3 s at most. A new process defers announcements until it has read the store or heard a peer, 2 s at most; what it learns later drains the endpoint. Deregistrations, announced drains and responses that state the leaving take the same way.

Why it works: a late announcement is of the incarnation that left or an earlier one with its ID, and those are covered; a later start is not.

TestEndpointGetsNoCallsAfterAResponseThatItLeaves waited until the restarted node reported the endpoint again; it waits for the link of the restarted node now, because the node no longer reports that endpoint.

--- a/hostnode/control.go
+++ b/hostnode/control.go
@@ -40,6 +40,16 @@
 		http.Error(w, "malformed announcement", http.StatusBadRequest)
 		return
 	}
+	n.announce(a)
+	if a.Draining {
+		n.saveDepartures(r.Context())
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(platform.HeartbeatResponse) // The endpoint sends the request again when it gets no response.
+}
+
+// announce applies an announcement.
+func (n *Node) announce(a localendpoint.Announcement) {
 	result := n.registration.Announce(a)
 	if result == localendpoint.Mismatched {
 		// The settings file may have changed without a signal.
@@ -48,13 +58,11 @@
 	}
 	switch result {
 	case localendpoint.Mismatched:
-		eventAnnouncementRejected.Log(n.logger, "endpoint", id, "service", a.Service, "address", a.Address, "error", "not the endpoint beside this node")
+		eventAnnouncementRejected.Log(n.logger, "endpoint", a.ID, "service", a.Service, "address", a.Address, "error", "not the endpoint beside this node")
 	case localendpoint.Renewed:
 	default:
-		eventAnnouncement.Log(n.logger, "endpoint", id, "service", a.Service, "verdict", result, "started_at_ms", a.StartedAtMs, "sequence", a.Sequence, "slots", a.Slots, "leaving", a.Draining)
+		eventAnnouncement.Log(n.logger, "endpoint", a.ID, "service", a.Service, "verdict", result, "started_at_ms", a.StartedAtMs, "sequence", a.Sequence, "slots", a.Slots, "leaving", a.Draining)
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(platform.HeartbeatResponse) // The endpoint sends the request again when it gets no response.
 }
 
 func (n *Node) onDeregister(w http.ResponseWriter, r *http.Request) {
@@ -67,6 +75,7 @@
 	startedAtMs := platform.DecodeDeregister(body)
 	inUse := n.registration.Deregister(mesh.EndpointID(id), startedAtMs)
 	eventAnnouncement.Log(n.logger, "endpoint", id, "verdict", "deregistered", "started_at_ms", startedAtMs, "in_use", inUse)
+	n.saveDepartures(r.Context())
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(platform.HeartbeatResponse) // The endpoint sends the request again when it gets no response.
 }
--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -34,6 +34,9 @@
 	eventEndpointRate         = events.Define(2524, hclog.Info, "endpoint names another rate of calls", "None; the gate starts no more calls than that. A rate of 0 means that there is no limit.")
 	eventEndpointLeaving      = events.Define(2525, hclog.Info, "endpoint states in a response that it leaves", "None; it gets no further calls.")
 
+	eventDeparturesLearned = events.Define(2526, hclog.Info, "departures of endpoints learned", "None; an earlier process of the host acknowledged them. Late announcements of these endpoints are ignored.")
+	eventDepartureNotSaved = events.Define(2527, hclog.Warn, "departure acknowledged before the store has it", "Check the store. The node writes it again; until then only other hosts tell it to the next process of this host.")
+
 	eventCallFinished  = events.Define(2530, hclog.Info, "call finished", "None.")
 	eventCallFailed    = events.Define(2531, hclog.Warn, "call failed", "The reason, the host of the last attempt and the gate's log line with the same ID lead to the cause; see docs/OPERATIONS.md.")
 	eventAttemptFailed = events.Define(2532, hclog.Warn, "attempt at the local endpoint failed", "The load, the slots and the time in the queue explain a rejection; broken attempts point to the endpoint.")
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -477,12 +477,12 @@
 			var running sync.WaitGroup
 			for i := range c.hosts {
 				name := fmt.Sprintf("host-%03d", i)
-				r := &registrar{
+				r := withoutDepartures(&registrar{
 					store: platform.OpenStoreWith(f.store.Address(), f.dial), logger: hclog.NewNullLogger(),
 					record: peers.Record{Host: mesh.HostID(name), Address: name}, addHosts: func(...peers.Record) {},
 					storeRecovered: make(chan struct{}, 1), hostCount: func() int { return c.hosts }, hostsAhead: func() int { return i },
 					writesPerSecond: float64(c.writesPerSecond),
-				}
+				})
 				registrars = append(registrars, r)
 				running.Go(func() { r.run(ctx) })
 			}
@@ -825,10 +825,10 @@
 			defer store.Close()
 			found := map[mesh.HostID]bool{}
 			newRegistrar := func(host mesh.HostID, addHosts func(...peers.Record)) *registrar {
-				return &registrar{
+				return withoutDepartures(&registrar{
 					store: platform.OpenStore(store.Address()), logger: hclog.NewNullLogger(),
 					record: peers.Record{Host: host, Address: string(host)}, addHosts: addHosts,
-				}
+				})
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			defer cancel()
@@ -860,10 +860,10 @@
 	inBubble(t, "the first write of the record gets no answer and is executed late", func(t *testing.T) {
 		f := newBubbleFixture(t)
 		defer f.close()
-		r := &registrar{
+		r := withoutDepartures(&registrar{
 			store: platform.OpenStoreWith(f.store.Address(), f.dial), logger: hclog.NewNullLogger(),
 			record: peers.Record{Host: "running", Address: "address"}, addHosts: func(...peers.Record) {},
-		}
+		})
 		defer r.store.CloseIdleConnections()
 		f.store.SetFault(func(path string) standin.Fault {
 			if path == standin.PathTransaction {
--- a/hostnode/leaving_test.go
+++ b/hostnode/leaving_test.go
@@ -33,7 +33,7 @@
 				a.start()
 				time.Sleep(2 * time.Second)
 				a.announce("one", "ready")
-				waitFor(isLinked)
+				waitFor(func() bool { return f.allHave(4) && b.node.directory.HostCount() == 2 })
 			}
 			for i := range 40 {
 				time.Sleep(100 * time.Millisecond)
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -18,6 +18,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/ingress"
 	"geraniumnotch.example/geraniumnotch/internal/sockpoll"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
@@ -135,6 +136,7 @@
 	}
 	n.registration = localendpoint.NewRegistration(s.Endpoint, clock, n.endpointChanged)
 	n.registration.Dial = localendpoint.DialFunc(sys.dial)
+	n.registration.AwaitDepartures()
 	buffers := call.NewBuffers(int64(s.ResponseBufferMB) << 20)
 	gate := localendpoint.NewGate(n.registration, platform.Headers{}, clock, observer, buffers)
 	record := peers.Record{Host: s.Host, Address: s.Listen.PeersAdvertised, FailureDomain: s.FailureDomain, Incarnation: n.started.UnixNano(), LinkMbps: s.LinkMbps}
@@ -145,12 +147,14 @@
 		OnLimitedEndpoint: func(e peers.LimitedEndpoint) {
 			n.registration.ExpectRate(localendpoint.ExpectedRate{ID: e.ID, CallsPerSecond: e.CallsPerSecond})
 		},
+		OnReceiverDeparted: func(known departures.List, from mesh.HostID) { n.learnDepartures(known, string(from)) },
 	})
 	if err := observeLinks(registry.Meter(), n.directory.LocalTraffic, n.directory.RemoteTraffic); err != nil {
 		return nil, err
 	}
 	n.registrar = &registrar{
 		store: n.store, record: record, logger: logger, addHosts: n.directory.AddRecords,
+		departures: newDepartureWriter(n.registration.Departures), onDepartures: func(known departures.List) { n.learnDepartures(known, "store") },
 		storeRecovered: make(chan struct{}, 1), hostCount: n.directory.HostCount, hostsAhead: n.directory.HostsAhead, writesPerSecond: s.StoreWritesPerSecond, monitor: storeMonitor{logger: logger, use: "hosts"},
 	}
 	n.forwarder = &ingress.Forwarder{
@@ -174,6 +178,7 @@
 		eventEndpointRemoved.Log(n.logger)
 	}
 	n.directory.ReportNow()
+	n.registrar.departures.signal()
 }
 
 // statusReport returns the host's status for its peers.
@@ -182,7 +187,7 @@
 	read := n.planKeeper.tracker.LatestRead()
 	s := peers.Status{
 		SentAt: now, PlanVersion: n.planKeeper.activeVersion(), PlanRead: read.Stamp, StoreEpoch: read.Epoch,
-		Draining: n.stopping.Load(),
+		Draining: n.stopping.Load(), Departed: n.registration.Departures(),
 	}
 	if read.Stamp.Number != 0 {
 		s.PlanReadAge = now - read.BeganAt
@@ -264,6 +269,7 @@
 		defer close(n.linksClosed)
 		n.directory.Run(ctx)
 	}()
+	time.AfterFunc(maxPeerWait, n.applyDeferred)
 	go boottime.WatchSuspensions(ctx, n.clock, n.onSuspended)
 	go n.watchSettings(ctx)
 	eventStarted.Log(n.logger, "host", s.Host, "failure_domain", s.FailureDomain, "service", s.Endpoint.Service, "endpoint_address", s.Endpoint.Address)
--- a/hostnode/registrar.go
+++ b/hostnode/registrar.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/peers"
 	"geraniumnotch.example/geraniumnotch/platform"
 )
@@ -54,6 +55,10 @@
 	// writesPerSecond is the rate of writes of all hosts that the store accepts.
 	writesPerSecond float64
 	monitor         storeMonitor
+	// departures writes the departures of the host's endpoints, and onDepartures is called
+	// with those that the store has.
+	departures   *departureWriter
+	onDepartures func(departures.List)
 	// listed is set once the host records have been read.
 	listed atomic.Bool
 	// currentListDue is set from a registration to the next list: a stale one may lack
@@ -66,28 +71,54 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := r.update(ctx, &lease, renewals)
+		if err == nil {
+			err = r.writeDepartures(ctx, &lease)
+		}
 		r.monitor.observe(time.Since(began), err)
 		pause := renewRetryInterval
 		if err == nil {
 			renewals++
 			pause = renewInterval
 		}
-		r.waitForRenewal(ctx, jittered(pause))
+		r.waitForRenewal(ctx, jittered(pause), &lease)
 	}
 }
 
-// waitForRenewal waits for d, or for the host's turn once the store has recovered.
-func (r *registrar) waitForRenewal(ctx context.Context, d time.Duration) {
+// waitForRenewal waits for d, or for the host's turn once the store has recovered. It
+// writes departures meanwhile; if that fails, the renewal is due after renewRetryInterval.
+func (r *registrar) waitForRenewal(ctx context.Context, d time.Duration, lease *platform.Lease) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-r.storeRecovered:
-		sleep(ctx, r.recoveryDelay())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-r.storeRecovered:
+			sleep(ctx, r.recoveryDelay())
+			return
+		case <-r.departures.changed:
+			if err := r.writeDepartures(ctx, lease); err != nil {
+				timer.Reset(jittered(renewRetryInterval))
+			}
+		}
 	}
 }
 
+// writeDepartures writes the departures that the store lacks. Without a lease, they are
+// written after the registration.
+func (r *registrar) writeDepartures(ctx context.Context, lease *platform.Lease) error {
+	if *lease == (platform.Lease{}) {
+		return nil
+	}
+	err := r.departures.write(ctx, r.store, r.key(), *lease)
+	if errors.Is(err, platform.ErrStoreLeaseNotFound) {
+		*lease = platform.Lease{}
+	}
+	return err
+}
+
 // recoveryDelay returns the host's turn in the recovery spread. Hosts that know each
 // other have different turns.
 func (r *registrar) recoveryDelay() time.Duration {
@@ -189,8 +220,9 @@
 	if err != nil {
 		return false, err
 	}
-	records := make([]peers.Record, 0, len(items))
-	for _, item := range items {
+	departed, recordItems := departureItems(r.key(), items, r.logger)
+	records := make([]peers.Record, 0, len(recordItems))
+	for _, item := range recordItems {
 		record, err := peers.DecodeRecord(item.Value)
 		if err != nil || string(record.Host) != strings.TrimPrefix(item.Key, hostsPrefix) {
 			eventRecordMalformed.Log(r.logger, "key", item.Key, "error", err)
@@ -202,6 +234,7 @@
 		}
 	}
 	r.addHosts(records...)
+	r.onDepartures(departed)
 	r.listed.Store(true)
 	r.currentListDue = false
 	return isRecorded, nil
--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
+	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/slotqueue"
 )
@@ -57,6 +58,9 @@
 	Stale AnnounceResult = "stale"
 	// Mismatched means that the announcement does not match the configured identity.
 	Mismatched AnnounceResult = "foreign"
+	// Deferred means that the announcement is applied once the departures of an earlier
+	// process are known.
+	Deferred AnnounceResult = "deferred"
 )
 
 // Identity is the configured identity of the local endpoint.
@@ -84,9 +88,13 @@
 	// lastDeregistered is the latest incarnation that has deregistered, so that a
 	// late announcement does not register it again.
 	lastDeregistered Announcement
-	// drained are the latest incarnations that have announced that they drain or have
-	// deregistered, whether or not they are or were current.
-	drained []incarnation
+	// departed are the latest endpoints that have left, whether or not they are or were
+	// current.
+	departed departures.List
+	// awaitsDepartures is set while it is not known which endpoints have left before this
+	// process started. Announcements are then kept in deferred.
+	awaitsDepartures bool
+	deferred         []Announcement
 	// expected is the rate that an endpoint named before this process started.
 	expected ExpectedRate
 	onChange func(*Endpoint)
@@ -98,15 +106,13 @@
 	CallsPerSecond float64
 }
 
-// incarnation identifies an incarnation of an endpoint, and the earlier ones with its ID.
-type incarnation struct {
-	id          mesh.EndpointID
-	startedAtMs int64
-}
-
-// maxDrained bounds the drained incarnations that are kept. Announcements are a few
-// seconds late at most, in which an address changes hands only a few times.
-const maxDrained = 64
+// maxDeparted bounds the departures that are kept, and maxDeferred the announcements.
+// Announcements are a few seconds late at most, in which an address changes hands only a
+// few times.
+const (
+	maxDeparted = 64
+	maxDeferred = 64
+)
 
 // maxStartAhead is how far the start of an endpoint may lie in the future, because times of
 // day jump by seconds. An endpoint with a later one would make every real one look older.
@@ -172,6 +178,11 @@
 // Announce has returned.
 func (r *Registration) Announce(a Announcement) AnnounceResult {
 	r.mu.Lock()
+	if r.awaitsDepartures && r.isValid(a) {
+		r.deferAnnouncement(a)
+		r.mu.Unlock()
+		return Deferred
+	}
 	result, old := r.apply(a)
 	current := r.current
 	r.mu.Unlock()
@@ -184,14 +195,79 @@
 	case DrainStarted:
 		current.Queue.Close(reasonDraining)
 		r.onChange(current)
-	case Renewed, Stale, Mismatched:
+	case Renewed, Stale, Mismatched, Deferred:
 	}
 	return result
 }
 
+// AwaitDepartures defers announcements until TakeDeferred. An endpoint may have left
+// before this process started, and its earlier announcements may be late.
+func (r *Registration) AwaitDepartures() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.awaitsDepartures = true
+}
+
+// TakeDeferred ends the deferral and returns the deferred announcements in the order of
+// their arrival. The caller announces them again.
+func (r *Registration) TakeDeferred() []Announcement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	taken := r.deferred
+	r.awaitsDepartures, r.deferred = false, nil
+	return taken
+}
+
+// deferAnnouncement keeps an announcement. One that the endpoint drains binds at once.
+func (r *Registration) deferAnnouncement(a Announcement) {
+	if a.Draining {
+		r.recordDeparture(a.ID, a.StartedAtMs)
+	}
+	r.deferred = append(r.deferred, a)
+	r.deferred = r.deferred[max(0, len(r.deferred)-maxDeferred):]
+}
+
+// Departures returns the latest endpoints that have left.
+func (r *Registration) Departures() departures.List {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.departed.Latest(departures.MaxShared)
+}
+
+// RecordDepartures records endpoints that have left as an earlier process of the host
+// knew it, and drains the current endpoint if it is one of them. It returns the departures
+// that were not known yet.
+func (r *Registration) RecordDepartures(known departures.List) departures.List {
+	r.mu.Lock()
+	added := slices.DeleteFunc(known.Without(r.departed), func(d departures.Departure) bool { return r.startsAhead(d.StartedAtMs) })
+	r.departed = r.departed.Add(maxDeparted, added...)
+	e := r.current
+	if e == nil || e.Draining || !r.departed.Covers(e.ID, e.StartedAtMs) {
+		r.mu.Unlock()
+		return added
+	}
+	next := *e
+	next.Draining = true
+	r.current = &next
+	r.mu.Unlock()
+	e.Queue.Close(reasonDraining)
+	r.onChange(&next)
+	return added
+}
+
+// isValid reports whether the announcement is one of the configured endpoint.
+func (r *Registration) isValid(a Announcement) bool {
+	return r.identity.matches(a) && !r.startsAhead(a.StartedAtMs)
+}
+
+// startsAhead reports whether a start lies in the future.
+func (r *Registration) startsAhead(startedAtMs int64) bool {
+	return startedAtMs > r.timeOfDay().Add(maxStartAhead).UnixMilli()
+}
+
 // apply updates the current endpoint. It returns the endpoint that was replaced.
 func (r *Registration) apply(a Announcement) (AnnounceResult, *Endpoint) {
-	if !r.identity.matches(a) || a.StartedAtMs > r.timeOfDay().Add(maxStartAhead).UnixMilli() {
+	if !r.isValid(a) {
 		return Mismatched, nil
 	}
 	old := r.current
@@ -203,36 +279,26 @@
 			return Stale, nil
 		}
 		return r.update(a)
-	case r.hasDrained(a):
+	case r.departed.Covers(a.ID, a.StartedAtMs):
 		return Stale, nil
 	case old == nil:
 	case a.StartedAtMs < old.StartedAtMs, a.StartedAtMs == old.StartedAtMs && a.ID != old.ID:
 		if a.Draining {
-			r.recordDrained(a.ID, a.StartedAtMs)
+			r.recordDeparture(a.ID, a.StartedAtMs)
 		}
 		return Stale, nil
 	}
 	e := r.newEndpoint(a)
 	r.current = e
 	if a.Draining {
-		r.recordDrained(a.ID, a.StartedAtMs)
+		r.recordDeparture(a.ID, a.StartedAtMs)
 		e.Queue.Close(reasonDraining)
 	}
 	return NewIncarnation, old
 }
 
-// hasDrained reports whether the announced incarnation, or a later one with its ID, has
-// drained.
-func (r *Registration) hasDrained(a Announcement) bool {
-	return slices.ContainsFunc(r.drained, func(d incarnation) bool { return d.id == a.ID && a.StartedAtMs <= d.startedAtMs })
-}
-
-func (r *Registration) recordDrained(id mesh.EndpointID, startedAtMs int64) {
-	r.drained = slices.DeleteFunc(r.drained, func(d incarnation) bool { return d.id == id && d.startedAtMs <= startedAtMs })
-	r.drained = append(r.drained, incarnation{id, startedAtMs})
-	if excess := len(r.drained) - maxDrained; excess > 0 {
-		r.drained = slices.Delete(r.drained, 0, excess)
-	}
+func (r *Registration) recordDeparture(id mesh.EndpointID, startedAtMs int64) {
+	r.departed = r.departed.Add(maxDeparted, departures.Departure{ID: id, StartedAtMs: startedAtMs})
 }
 
 func (r *Registration) newEndpoint(a Announcement) *Endpoint {
@@ -261,7 +327,7 @@
 	next.Announcement, next.ColdUntil = a, r.clock()+a.ColdRemaining
 	r.current = &next
 	if a.Draining && !wasDraining {
-		r.recordDrained(a.ID, a.StartedAtMs)
+		r.recordDeparture(a.ID, a.StartedAtMs)
 		return DrainStarted, nil
 	}
 	return Renewed, nil
@@ -273,7 +339,7 @@
 // that case either. It reports false and changes nothing when the start is in the future.
 func (r *Registration) Deregister(id mesh.EndpointID, startedAtMs int64) bool {
 	r.mu.Lock()
-	if startedAtMs > r.timeOfDay().Add(maxStartAhead).UnixMilli() {
+	if r.startsAhead(startedAtMs) {
 		r.mu.Unlock()
 		return false
 	}
@@ -282,11 +348,11 @@
 		if startedAtMs == 0 {
 			startedAtMs = r.timeOfDay().UnixMilli() // It has started before that.
 		}
-		r.recordDrained(id, startedAtMs)
+		r.recordDeparture(id, startedAtMs)
 		r.mu.Unlock()
 		return false
 	}
-	r.recordDrained(id, max(startedAtMs, e.StartedAtMs))
+	r.recordDeparture(id, max(startedAtMs, e.StartedAtMs))
 	next := *e
 	next.Draining = true
 	r.current, r.lastDeregistered = &next, e.Announcement
@@ -300,7 +366,7 @@
 // when the endpoint has drained before or is not current.
 func (r *Registration) Leave(e *Endpoint) bool {
 	r.mu.Lock()
-	r.recordDrained(e.ID, e.StartedAtMs)
+	r.recordDeparture(e.ID, e.StartedAtMs)
 	if r.current == nil || r.current.Queue != e.Queue || r.current.Draining {
 		r.mu.Unlock()
 		return false
--- a/localendpoint/registration_test.go
+++ b/localendpoint/registration_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
 	"geraniumnotch.example/geraniumnotch/mesh"
 )
@@ -200,3 +201,60 @@
 		So(found, ShouldBeFalse)
 	})
 }
+
+// Guards against an endpoint that is registered before it is known that it left while an
+// earlier process ran, and against one that stays registered when that becomes known.
+func TestDeparturesBeforeTheStartOfTheProcess(t *testing.T) {
+	Convey("a registration that awaits departures", t, func() {
+		now, changes := time.Duration(0), 0
+		r := localendpoint.NewRegistration(identity, func() time.Duration { return now }, func(*localendpoint.Endpoint) { changes++ })
+		r.TimeOfDay = func() time.Time { return time.UnixMilli(1000) }
+		r.AwaitDepartures()
+		left := departures.List{{ID: "a", StartedAtMs: 100}}
+
+		Convey("defers announcements, and an endpoint that has left is not registered", func() {
+			So(r.Announce(announcement("a", 100, 20)), ShouldEqual, localendpoint.Deferred)
+			So(r.Announce(announcement("b", 300, 1)), ShouldEqual, localendpoint.Deferred)
+			So(r.Current(), ShouldBeNil)
+			So(r.RecordDepartures(left), ShouldResemble, left)
+			deferred := r.TakeDeferred()
+			So(deferred, ShouldResemble, []localendpoint.Announcement{announcement("a", 100, 20), announcement("b", 300, 1)})
+			So(r.Announce(deferred[0]), ShouldEqual, localendpoint.Stale)
+			So(r.Announce(deferred[1]), ShouldEqual, localendpoint.NewIncarnation)
+			So(r.TakeDeferred(), ShouldBeEmpty)
+		})
+		Convey("does not defer one of another endpoint", func() {
+			other := announcement("b", 200, 1)
+			other.Address = "127.0.0.1:10"
+			So(r.Announce(other), ShouldEqual, localendpoint.Mismatched)
+		})
+		Convey("records at once that an endpoint drains", func() {
+			So(r.Announce(draining(announcement("a", 100, 20))), ShouldEqual, localendpoint.Deferred)
+			So(r.Departures(), ShouldResemble, left)
+		})
+		Convey("keeps a bounded number of announcements", func() {
+			for i := range uint64(1000) {
+				r.Announce(announcement("a", 100, i))
+			}
+			deferred := r.TakeDeferred()
+			So(len(deferred), ShouldBeLessThan, 100)
+			So(deferred[len(deferred)-1].Sequence, ShouldEqual, 999)
+		})
+		Convey("drains the current endpoint when it is known that it has left", func() {
+			r.TakeDeferred()
+			So(r.Announce(announcement("a", 100, 20)), ShouldEqual, localendpoint.NewIncarnation)
+			So(r.RecordDepartures(left), ShouldHaveLength, 1)
+			So(r.Current().Draining, ShouldBeTrue)
+			So(changes, ShouldEqual, 2)
+			So(r.RecordDepartures(left), ShouldBeEmpty)
+			So(changes, ShouldEqual, 2)
+			So(r.Announce(announcement("a", 101, 1)), ShouldEqual, localendpoint.NewIncarnation)
+			So(r.Current().Draining, ShouldBeFalse)
+		})
+		Convey("ignores a departure with a start in the future", func() {
+			So(r.RecordDepartures(departures.List{{ID: "a", StartedAtMs: math.MaxInt64}}), ShouldBeEmpty)
+			r.TakeDeferred()
+			So(r.Announce(announcement("a", 100, 1)), ShouldEqual, localendpoint.NewIncarnation)
+		})
+	})
+}
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -12,6 +12,7 @@
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
 	"geraniumnotch.example/geraniumnotch/callmux"
+	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/events"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/plansync"
@@ -81,6 +82,9 @@
 	// OnLimitedEndpoint is called with the rate that the endpoint of this host has named
 	// before, as a peer knows it; nil ignores it.
 	OnLimitedEndpoint func(LimitedEndpoint)
+	// OnReceiverDeparted is called with the first report on each link, and the endpoints of
+	// this host that have left as the peer knows it; nil ignores them.
+	OnReceiverDeparted func(known departures.List, from mesh.HostID)
 }
 
 // Peer is another host. Each placement reads its atomics without the directory's
@@ -92,9 +96,9 @@
 	mux    atomic.Pointer[callmux.Mux]
 	// lastEndpoint is the latest reported endpoint. It stays when the link is lost.
 	lastEndpoint atomic.Pointer[EndpointStatus]
-	// leaving is the endpoint that last stated in a response that it leaves. Its host may
-	// have restarted since and not know it.
-	leaving atomic.Pointer[EndpointStatus]
+	// departed are the latest endpoints of the host that have left. The host may have
+	// restarted since and not know it.
+	departed atomic.Pointer[departures.List]
 	// reportedCalls is the number of calls at the peer's gate by its latest report
 	// or result, and sentSinceReport the calls that this host has sent since.
 	reportedCalls   atomic.Int64
@@ -378,6 +382,9 @@
 	if s.LimitedEndpoint != nil && d.config.OnLimitedEndpoint != nil {
 		d.config.OnLimitedEndpoint(*s.LimitedEndpoint)
 	}
+	if s.Record != nil && d.config.OnReceiverDeparted != nil {
+		d.config.OnReceiverDeparted(s.ReceiverDeparted.Latest(departures.MaxShared), l.Peer())
+	}
 	readAt := d.config.Clock() - max(0, s.PlanReadAge)
 	if s.SentAt != 0 {
 		readAt -= mux.TransitDelay(s.SentAt)
@@ -391,6 +398,9 @@
 			l.SetMeter(&d.localTraffic)
 		}
 	}
+	if p != nil && len(s.Departed) > 0 {
+		p.addDeparted(s.Departed...)
+	}
 	if p == nil || d.manager.Link(l.Peer()) != l {
 		// A report on a link that another one has replaced must not restore the mux
 		// of the old link.
@@ -506,13 +516,37 @@
 }
 
 // MarkLeaving records that the endpoint has stated in a response that it leaves.
-func (p *Peer) MarkLeaving(e *EndpointStatus) { p.leaving.Store(e) }
+func (p *Peer) MarkLeaving(e *EndpointStatus) {
+	p.addDeparted(departures.Departure{ID: e.ID, StartedAtMs: e.StartedAtMs})
+}
+
+// IsLeaving reports whether the endpoint, or a later incarnation of it, has left or has
+// stated in a response that it leaves.
+func (p *Peer) IsLeaving(e *EndpointStatus) bool { return p.departures().Covers(e.ID, e.StartedAtMs) }
+
+// departures returns the latest endpoints of the host that have left.
+func (p *Peer) departures() departures.List {
+	if l := p.departed.Load(); l != nil {
+		return *l
+	}
+	return nil
+}
 
-// IsLeaving reports whether the endpoint, or a later incarnation of it, has stated in a
-// response that it leaves.
-func (p *Peer) IsLeaving(e *EndpointStatus) bool {
-	l := p.leaving.Load()
-	return l != nil && l.ID == e.ID && e.StartedAtMs <= l.StartedAtMs
+func (p *Peer) addDeparted(added ...departures.Departure) {
+	for {
+		var known departures.List
+		old := p.departed.Load()
+		if old != nil {
+			known = *old
+		}
+		if len(departures.List(added).Without(known)) == 0 {
+			return
+		}
+		next := known.Add(departures.MaxShared, added...)
+		if p.departed.CompareAndSwap(old, &next) {
+			return
+		}
+	}
 }
 
 // Occupied estimates the number of calls at the peer's gate: those in its latest
--- a/peers/links.go
+++ b/peers/links.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"geraniumnotch.example/geraniumnotch/callmux"
+	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
 
@@ -74,7 +75,9 @@
 	d.mu.Lock()
 	d.links[l] = &linkState{mux: mux}
 	var limited *LimitedEndpoint
+	var departed departures.List
 	if p := d.peers[l.Peer()]; p != nil {
+		departed = p.departures()
 		if e := p.lastEndpoint.Load(); e != nil && e.CallsPerSecond > 0 {
 			limited = &LimitedEndpoint{ID: e.ID, CallsPerSecond: e.CallsPerSecond}
 		}
@@ -88,6 +91,7 @@
 	d.mu.Unlock()
 	status := d.config.LocalStatus()
 	status.Record, status.LimitedEndpoint, status.Protocol = &d.config.Self, limited, protocolReceipts
+	status.ReceiverDeparted = departed
 	_ = l.Send(transport.KindHostStatus, status) // The queue of a new link has room.
 	eventPeerUp.Log(d.config.Logger, "host", l.Peer())
 }
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -17,6 +17,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/peers"
 	"geraniumnotch.example/geraniumnotch/plansync"
@@ -43,6 +44,10 @@
 	plans        chan routeplan.Delta
 	// paused is set while the host sends no status reports.
 	paused atomic.Bool
+	// departed is what the host reports of endpoints that have left, nil for none.
+	departed atomic.Pointer[departures.List]
+	// learned are the departures of its own endpoints that peers have told the host.
+	learned chan departures.List
 }
 
 // testNetwork is the in-memory network of a test. Its tests run in a bubble of
@@ -71,7 +76,7 @@
 	}
 	h := &host{
 		record:       peers.Record{Host: mesh.HostID(name), Address: address, FailureDomain: "d", Incarnation: incarnation, LinkMbps: 8},
-		planVersions: make(chan uint64, 1000), plans: make(chan routeplan.Delta, 10), ended: make(chan struct{}),
+		planVersions: make(chan uint64, 1000), plans: make(chan routeplan.Delta, 10), learned: make(chan departures.List, 100), ended: make(chan struct{}),
 	}
 	h.Directory = peers.New(peers.Config{
 		Self: h.record, Clock: now, Dial: transport.DialFunc(n.Dialer(address)), Local: run,
@@ -79,8 +84,13 @@
 			for h.paused.Load() {
 				time.Sleep(time.Millisecond)
 			}
-			return peers.Status{PlanVersion: h.version.Load(), Endpoint: &peers.EndpointStatus{ID: "e", Service: "s", Slots: 3, Running: int(h.running.Load())}}
+			s := peers.Status{PlanVersion: h.version.Load(), Endpoint: &peers.EndpointStatus{ID: "e", Service: "s", Slots: 3, Running: int(h.running.Load())}}
+			if departed := h.departed.Load(); departed != nil {
+				s.Departed = *departed
+			}
+			return s
 		},
+		OnReceiverDeparted: func(known departures.List, _ mesh.HostID) { h.learned <- known },
 		PlanDelta: func(have uint64) (routeplan.Delta, bool) {
 			return routeplan.Delta{Base: have, Version: h.version.Load()}, true
 		},
@@ -176,6 +186,7 @@
 			PlanVersion: 7, PlanRead: read, StoreEpoch: 2, PlanReadAge: time.Second, SentAt: time.Minute,
 			Endpoint:        &peers.EndpointStatus{ID: "e", CallsPerSecond: 6.5, StartedAtMs: 5},
 			LimitedEndpoint: &peers.LimitedEndpoint{ID: "f", CallsPerSecond: 1.5},
+			Departed:        departures.List{{ID: "g", StartedAtMs: 6}}, ReceiverDeparted: departures.List{{ID: "h", StartedAtMs: 7}},
 		})
 		So(err, ShouldBeNil)
 		var s earlierStatus
@@ -399,6 +410,37 @@
 	})
 }
 
+// Guards against calls to an endpoint that has left when its host has restarted and
+// reports it again, and against a restarted host that does not learn of it.
+func TestDeparturesOutliveARestartOfTheirHost(t *testing.T) {
+	inBubble(t, "a host restarts after its endpoint has left", func(_ C, n *testNetwork) {
+		a := n.newHost("a", 1, echo)
+		defer a.close()
+		b := n.newHost("b", 1, echo)
+		a.AddRecords(b.record)
+		a.waitForPeers(1)
+		So(<-b.learned, ShouldBeEmpty)
+		p := a.ByService("s")[0]
+		So(p.IsLeaving(p.Endpoint()), ShouldBeFalse)
+		left := departures.List{{ID: "e", StartedAtMs: 5}}
+		b.departed.Store(&left)
+		b.ReportNow()
+		waitFor(func() bool { return p.IsLeaving(&peers.EndpointStatus{ID: "e", StartedAtMs: 5}) })
+		p.MarkLeaving(&peers.EndpointStatus{ID: "f", StartedAtMs: 6})
+		b.close()
+		waitFor(func() bool { return a.HostCount() == 1 })
+
+		restarted := n.newHost("b", 2, echo)
+		defer restarted.close()
+		a.AddRecords(restarted.record)
+		a.waitForPeers(1)
+		p = a.ByService("s")[0]
+		So(p.IsLeaving(p.Endpoint()), ShouldBeTrue)
+		So(p.IsLeaving(&peers.EndpointStatus{ID: "e", StartedAtMs: 6}), ShouldBeFalse)
+		So(<-restarted.learned, ShouldResemble, append(left, departures.Departure{ID: "f", StartedAtMs: 6}))
+	})
+}
+
 // Guards against a host that keeps an old plan because its store reads fail.
 func TestPlanRequest(t *testing.T) {
 	inBubble(t, "the plan of a peer is requested as a delta", func(_ C, n *testNetwork) {
--- a/peers/statusdelta.go
+++ b/peers/statusdelta.go
@@ -64,7 +64,7 @@
 // apply returns the status that results from a whole report and the delta.
 func (d *statusDelta) apply(base *Status) Status {
 	s := *base
-	s.Record, s.LimitedEndpoint = nil, nil
+	s.Record, s.LimitedEndpoint, s.ReceiverDeparted = nil, nil, nil
 	s.SentAt = boottime.Time(d.SentAtMs) * boottime.Time(time.Millisecond)
 	s.PlanVersion = d.PlanVersion
 	s.PlanRead.Number = d.ReadNumber
@@ -86,7 +86,7 @@
 func hasBase(s, base *Status) bool {
 	sameRead := s.PlanRead == plansync.Stamp{} || s.PlanRead.Number != 0 && s.PlanRead.Reader == base.PlanRead.Reader && s.PlanRead.Recoveries == base.PlanRead.Recoveries
 	if s.Draining != base.Draining || s.StoreEpoch != base.StoreEpoch || !sameRead || (s.SentAt == 0) != (base.SentAt == 0) ||
-		(s.Endpoint == nil) != (base.Endpoint == nil) {
+		(s.Endpoint == nil) != (base.Endpoint == nil) || !slices.Equal(s.Departed, base.Departed) {
 		return false
 	}
 	e, b := s.Endpoint, base.Endpoint
--- a/peers/statusdelta_test.go
+++ b/peers/statusdelta_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
+	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/peers"
 	"geraniumnotch.example/geraniumnotch/plansync"
 	"geraniumnotch.example/geraniumnotch/routeplan"
@@ -23,6 +24,9 @@
 		PlanRead:    plansync.Stamp{Reader: rapid.SampledFrom([]string{"a/1", "b/2"}).Draw(t, label+"reader"), Number: uint64(rapid.IntRange(0, 1000).Draw(t, label+"number"))},
 		PlanReadAge: ms("age", 3000), Draining: rapid.Bool().Draw(t, label+"draining"), StoreEpoch: uint64(rapid.IntRange(0, 1).Draw(t, label+"epoch")),
 	}
+	if rapid.Bool().Draw(t, label+"departed") {
+		s.Departed = departures.List{{ID: "f", StartedAtMs: int64(rapid.IntRange(1, 2).Draw(t, label+"departure"))}}
+	}
 	if rapid.Bool().Draw(t, label+"endpoint") {
 		s.Endpoint = &peers.EndpointStatus{
 			ID: "e", Service: "s", Slots: rapid.IntRange(1, 2).Draw(t, label+"slots"), Running: rapid.IntRange(0, 9).Draw(t, label+"running"),
--- a/peers/types.go
+++ b/peers/types.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
+	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/plansync"
 	"geraniumnotch.example/geraniumnotch/routeplan"
@@ -119,6 +120,12 @@
 	// Protocol is the version of the messages that the sender reads, stated in the first
 	// report on a link.
 	Protocol int `cbor:"10,keyasint,omitempty"`
+	// Departed are the latest endpoints of the host that have left.
+	Departed departures.List `cbor:"11,keyasint,omitempty"`
+	// ReceiverDeparted are the latest endpoints of the receiver that have left, as the
+	// sender knows it. It is set only in the first report on a link: the receiver may have
+	// restarted.
+	ReceiverDeparted departures.List `cbor:"12,keyasint,omitempty"`
 }
 
 // protocolReceipts is the version from which hosts read status deltas, confirm the calls
