Reject announcements whose ID cannot be reported to other hosts

What callers saw: the path of an announcement may hold bytes that are not UTF-8 (%FF). With departures in the reports, one deregistration with such an ID would have sufficed.

--- a/hostnode/control.go
+++ b/hostnode/control.go
@@ -72,6 +72,11 @@
 		http.Error(w, "body incomplete", http.StatusBadRequest)
 		return
 	}
+	if !platform.IsEndpointID(id) {
+		eventAnnouncementRejected.Log(n.logger, "endpoint", id, "error", "malformed ID")
+		http.Error(w, "malformed ID", http.StatusBadRequest)
+		return
+	}
 	startedAtMs := platform.DecodeDeregister(body)
 	inUse := n.registration.Deregister(mesh.EndpointID(id), startedAtMs)
 	eventAnnouncement.Log(n.logger, "endpoint", id, "verdict", "deregistered", "started_at_ms", startedAtMs, "in_use", inUse)
