soak: endpoints that send bytes without end

Report of another operator: a faulty endpoint sent bytes that were no response, without end, in a head or in a body; the host that had called it kept them all and ran out of memory. It cannot happen here. The proxy of the product's own node is bounded by reading and by its tests of unbounded heads, interim responses and bodies.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -98,6 +98,8 @@
 	dropFaults atomic.Int32
 	// rate is the rate of calls that the endpoint names, 0 for none.
 	rate atomic.Int64
+	// flood is what the endpoint sends in place of responses, nil for none.
+	flood atomic.Pointer[flood]
 	// processMu serializes starting, stopping and signalling the process.
 	// stopExpected is set while the test ends the process.
 	processMu    sync.Mutex
@@ -221,6 +223,10 @@
 	if err != nil {
 		return // A call whose body is truncated is not executed.
 	}
+	if f := h.flood.Load(); f != nil {
+		f.send(rw, id)
+		return
+	}
 	e := &execution{host: h, begin: time.Now()}
 	h.cluster.mu.Lock()
 	h.cluster.executions[id] = append(h.cluster.executions[id], e)
