slotqueue: accept calls whose usual variation of service time fits their target

What callers saw: at twice the capacity of an endpoint, a fifth to a quarter of the answers were late, although other calls were rejected at once. TestFloodOfOneRankKeepsAnswersWithinTheirTarget failed in about 1 run of 50 (430 in time, bound 432), because the retry-after came from an unseeded source.

Cause: a call was accepted when 1.25 times the mean service time fits its target, while service times vary by about a third around their mean.

Change: 4/3 of the mean must fit. New takes the source of random numbers, and the tests seed it. The test plays seeds 1, 2 and the two worst ones, and more with -slotqueue.seeds; its bound is unchanged.

--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -4,6 +4,7 @@
 package localendpoint
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -302,7 +303,7 @@
 }
 
 func (r *Registration) newEndpoint(a Announcement) *Endpoint {
-	queue := slotqueue.New(a.Slots)
+	queue := slotqueue.New(a.Slots, rand.Float64)
 	queue.SetWake(func(after time.Duration) {
 		time.AfterFunc(after, func() { queue.Dispatch(r.clock()) })
 	})
--- a/placement/spread_test.go
+++ b/placement/spread_test.go
@@ -58,7 +58,7 @@
 func newSimulation(hosts, slots int, serviceTimes []time.Duration) *simulation {
 	s := &simulation{random: rand.New(rand.NewPCG(5, 6)), slots: slots}
 	for _, serviceTime := range serviceTimes {
-		s.gates = append(s.gates, &gate{queue: slotqueue.New(slots), serviceTime: serviceTime})
+		s.gates = append(s.gates, &gate{queue: slotqueue.New(slots, s.random.Float64), serviceTime: serviceTime})
 	}
 	for range hosts {
 		s.views = append(s.views, make([]placement.Candidate, len(serviceTimes)))
--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -10,7 +10,6 @@
 package slotqueue
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -26,8 +25,8 @@
 	minServiceTimeFraction = 0.6
 	// targetMargin times the mean service time must fit into what remains of the
 	// latency target for a call to count as one that meets it, because service
-	// times vary around their mean.
-	targetMargin = 1.25
+	// times vary by about a third around their mean.
+	targetMargin = 4.0 / 3
 	// maxLateFraction limits the waiting calls that miss their latency target, as a
 	// fraction of the slots, so that a long queue of late calls does not keep its
 	// callers waiting.
@@ -152,9 +151,10 @@
 	return time.Duration(m.value)
 }
 
-// New returns the queue of an endpoint with the given number of slots.
-func New(slots int) *Queue {
-	return &Queue{slots: slots, means: map[Class]*movingAverage{}, random: rand.Float64}
+// New returns the queue of an endpoint with the given number of slots. The function random
+// returns numbers from 0 to 1, which spread the retry-after of rejections.
+func New(slots int, random func() float64) *Queue {
+	return &Queue{slots: slots, means: map[Class]*movingAverage{}, random: random}
 }
 
 // SetWake sets the function that has Dispatch called after a time. It must be set before
--- a/slotqueue/slotqueue_test.go
+++ b/slotqueue/slotqueue_test.go
@@ -1,6 +1,12 @@
 package slotqueue_test
 
 import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,6 +20,15 @@
 
 const ms = time.Millisecond
 
+var floodSeeds = flag.Uint64("slotqueue.seeds", 2, "number of seeds of the flood of one rank")
+
+// seededQueue returns a queue whose random numbers are those of a seed.
+func seededQueue(slots int, seed uint64) *slotqueue.Queue {
+	return slotqueue.New(slots, rand.New(rand.NewPCG(seed, 0)).Float64)
+}
+
+func newQueue(slots int) *slotqueue.Queue { return seededQueue(slots, 1) }
+
 func class(rank uint8, nested bool) slotqueue.Class {
 	return slotqueue.Class{Kind: routeplan.Idempotent, Rank: rank, Nested: nested}
 }
@@ -34,7 +49,7 @@
 // fullQueue returns a queue whose slots are all in use, with the given mean service
 // time for each class, and the tickets that have the slots.
 func fullQueue(slots int, serviceTime time.Duration, now time.Duration) (*slotqueue.Queue, []*slotqueue.Ticket) {
-	q := slotqueue.New(slots)
+	q := newQueue(slots)
 	for _, nested := range []bool{false, true} {
 		for rank := range uint8(3) {
 			t, _ := q.Offer(newCall(rank, nested, now, time.Second, time.Minute), now)
@@ -150,7 +165,7 @@
 // calls to fill all of them.
 func TestNestedCallsLeaveAShareToClientCalls(t *testing.T) {
 	Convey("ten slots, with more nested calls and calls of clients than fit", t, func() {
-		q := slotqueue.New(10)
+		q := newQueue(10)
 		var running []*slotqueue.Ticket
 		started := map[bool]int{}
 		waiting := map[*slotqueue.Ticket]bool{}
@@ -207,37 +222,49 @@
 // simulation offers calls to a queue on a simulated clock. A client retries a
 // rejected call once.
 type simulation struct {
-	q       *slotqueue.Queue
-	now     time.Duration
-	events  []event
-	inTime  map[uint8]int
-	late    map[uint8]int
-	offered map[uint8]int
-	maxWait time.Duration
-	failed  int
+	q      *slotqueue.Queue
+	now    time.Duration
+	events eventHeap
+	// scheduled counts the events, and orders those at the same time.
+	scheduled int
+	inTime    map[uint8]int
+	late      map[uint8]int
+	offered   map[uint8]int
+	maxWait   time.Duration
+	failed    int
 	// pastDeadline counts the answers after the deadline.
 	pastDeadline int
 }
 
 type event struct {
 	at     time.Duration
+	number int
 	action func()
 }
 
+// eventHeap implements heap.Interface.
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].number < h[j].number
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
 func (s *simulation) schedule(at time.Duration, action func()) {
-	i := len(s.events)
-	s.events = append(s.events, event{at, action})
-	for i > 0 && s.events[i-1].at > at {
-		s.events[i] = s.events[i-1]
-		i--
-	}
-	s.events[i] = event{at, action}
+	s.scheduled++
+	heap.Push(&s.events, event{at, s.scheduled, action})
 }
 
 func (s *simulation) run() {
 	for len(s.events) > 0 {
-		next := s.events[0]
-		s.events = s.events[1:]
+		next := heap.Pop(&s.events).(event)
 		s.now = next.at
 		next.action()
 	}
@@ -299,9 +326,15 @@
 // multiples of the capacity, and returns the simulation after the last call has
 // ended.
 func simulate(slots int, serviceTime time.Duration, load map[uint8]float64, duration time.Duration) *simulation {
-	s := &simulation{q: slotqueue.New(slots), inTime: map[uint8]int{}, late: map[uint8]int{}, offered: map[uint8]int{}}
+	return simulateSeed(1, slots, serviceTime, load, duration)
+}
+
+// simulateSeed is simulate with the retry-after that a seed gives.
+func simulateSeed(seed uint64, slots int, serviceTime time.Duration, load map[uint8]float64, duration time.Duration) *simulation {
+	s := &simulation{q: seededQueue(slots, seed), inTime: map[uint8]int{}, late: map[uint8]int{}, offered: map[uint8]int{}}
 	capacity := float64(slots) / serviceTime.Seconds()
-	for rank, share := range load {
+	for _, rank := range slices.Sorted(maps.Keys(load)) {
+		share := load[rank]
 		interval := time.Duration(float64(time.Second) / (share * capacity))
 		for i, at := 0, time.Duration(rank)*ms; at < duration; i, at = i+1, at+interval {
 			// Service times from 0.6 to 1.4 of the mean, in a fixed pattern.
@@ -316,15 +349,23 @@
 
 // Guards against an overload that makes all answers late: at twice the capacity the
 // slots must still produce answers within their latency target. The bound is four
-// fifths of the capacity, the minimum required of the project's gate.
+// fifths of the capacity, the minimum required of the project's gate. In seeds 345 and
+// 411, 424 and 422 answers were in time while calls were accepted that a service time of
+// 1.3 times the mean made late.
 func TestFloodOfOneRankKeepsAnswersWithinTheirTarget(t *testing.T) {
-	Convey("18 slots, service time 200 ms, twice the capacity for 6 s, then none", t, func() {
-		s := simulate(18, 200*ms, map[uint8]float64{0: 2}, 6*time.Second)
-		capacity := 18 * 6 * 5
-		So(s.inTime[0], ShouldBeGreaterThanOrEqualTo, capacity*4/5)
-		So(s.inTime[0]+s.late[0]+s.failed+s.pastDeadline, ShouldEqual, s.offered[0])
-		So(s.pastDeadline, ShouldBeLessThanOrEqualTo, s.offered[0]/100)
-	})
+	seeds := []uint64{345, 411}
+	for seed := range *floodSeeds {
+		seeds = append(seeds, seed+1)
+	}
+	for _, seed := range seeds {
+		Convey(fmt.Sprintf("18 slots, service time 200 ms, twice the capacity for 6 s, then none, seed %d", seed), t, func() {
+			s := simulateSeed(seed, 18, 200*ms, map[uint8]float64{0: 2}, 6*time.Second)
+			capacity := 18 * 6 * 5
+			So(s.inTime[0], ShouldBeGreaterThanOrEqualTo, capacity*4/5)
+			So(s.inTime[0]+s.late[0]+s.failed+s.pastDeadline, ShouldEqual, s.offered[0])
+			So(s.pastDeadline, ShouldBeLessThanOrEqualTo, s.offered[0]/100)
+		})
+	}
 	Convey("below the capacity no call is rejected or late", t, func() {
 		s := simulate(18, 200*ms, map[uint8]float64{0: 0.9}, 6*time.Second)
 		So(s.inTime[0], ShouldEqual, s.offered[0])
@@ -345,7 +386,7 @@
 // Guards against calls that are placed by the mean of other classes, or by one response.
 func TestServiceTimesOfClasses(t *testing.T) {
 	Convey("two classes of differing service times", t, func() {
-		q := slotqueue.New(4)
+		q := newQueue(4)
 		short, long := slotqueue.Class{Kind: routeplan.Download, Rank: 2}, slotqueue.Class{Kind: routeplan.Idempotent, Rank: 2}
 		execute := func(class slotqueue.Class, serviceTime time.Duration, now boottime.Time) {
 			ticket, _ := q.Offer(slotqueue.Call{Class: class, TargetBy: now + time.Second, DeadlineBy: now + 2*time.Second}, now)
--- a/slotqueue/startlimit_test.go
+++ b/slotqueue/startlimit_test.go
@@ -29,7 +29,7 @@
 
 func newLimitedLoad(slots int) *limitedLoad {
 	l := &limitedLoad{
-		queue: slotqueue.New(slots), running: map[*slotqueue.Ticket]time.Duration{},
+		queue: newQueue(slots), running: map[*slotqueue.Ticket]time.Duration{},
 		starts: map[slotqueue.Class][]time.Duration{}, classes: map[*slotqueue.Ticket]slotqueue.Class{},
 	}
 	l.queue.SetWake(func(after time.Duration) { l.wakeAt = l.now + after })
