Calls with bytes that are not UTF-8 no longer close the link between hosts

The same held for the path and the ID of a request and for headers of responses.

Cause: heads travel as CBOR text strings. The encoder does not check that they are UTF-8, the decoder of the receiving host rejects the frame, and a rejected frame closes the link.

Change: a head that holds other bytes is sent with byte strings, all others as before. Hosts state with protocol version 2 that they read them. A call that a host of an earlier program cannot read is rejected as not executed (host_cannot_read) and goes elsewhere; a response that it cannot read ends its call alone as broken.

--- a/call/call.go
+++ b/call/call.go
@@ -106,6 +106,7 @@
 	ReasonLinkLost           = "link_lost"
 	ReasonNoLink             = "no_link"
 	ReasonNotReceived        = "not_received"
+	ReasonHostCannotRead     = "host_cannot_read"
 	ReasonResponseTruncated  = "answer_truncated"
 	ReasonResponseMalformed  = "answer_malformed"
 	ReasonResponseTooLong    = "answer_too_long"
--- a/callmux/messages.go
+++ b/callmux/messages.go
@@ -6,8 +6,10 @@
 import (
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
@@ -133,6 +135,18 @@
 	return h
 }
 
+// NeedsByteStrings implements transport.ByteStringer: clients may send any bytes in the
+// path, the ID and the headers of a request.
+func (f openFrame) NeedsByteStrings() bool {
+	return !isText(f.ID) || !isText(f.Method) || !isText(f.URI) || !isText(f.Host) || !lo.EveryBy(f.Header, isText)
+}
+
+// NeedsByteStrings implements transport.ByteStringer: endpoints may send any bytes in the
+// headers of a response.
+func (f headFrame) NeedsByteStrings() bool { return !lo.EveryBy(f.Header, isText) }
+
+func isText(s string) bool { return utf8.ValidString(s) }
+
 // ErrMessage means that a message of a peer has values that no host sends.
 var ErrMessage = errors.New("callmux: malformed message")
 
--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -26,6 +26,9 @@
 	// confirms is set when the peer confirms the calls that it receives and holds those of
 	// KindCallHeld until they are released.
 	confirms atomic.Bool
+	// readsByteStrings is set when the peer reads strings that are not UTF-8. Others would
+	// close the link.
+	readsByteStrings atomic.Bool
 	// onSilence is called when the peer confirms nothing and sends nothing else.
 	onSilence func()
 
@@ -87,6 +90,9 @@
 // SetConfirms records that the peer confirms the calls that it receives.
 func (m *Mux) SetConfirms() { m.confirms.Store(true) }
 
+// SetReadsByteStrings records that the peer reads strings that are not UTF-8.
+func (m *Mux) SetReadsByteStrings() { m.readsByteStrings.Store(true) }
+
 // SetOnSilence sets the function that is called when the peer does not confirm a call and
 // sends nothing else. It must be set before the first call.
 func (m *Mux) SetOnSilence(f func()) { m.onSilence = f }
@@ -122,6 +128,9 @@
 	if err != nil {
 		return call.Result{Outcome: call.Rejected, Reason: call.ReasonBodyIncomplete}
 	}
+	if open.NeedsByteStrings() && !m.readsByteStrings.Load() {
+		return call.Result{Outcome: call.Rejected, Reason: call.ReasonHostCannotRead}
+	}
 	o := &outgoing{result: make(chan call.Result, 1), window: newSendWindow(0), received: make(chan struct{})}
 	o.response = newPipe(func(n int) {
 		_ = m.send(transport.KindResponseCredit, creditFrame{Stream: id, Bytes: n}) // Close ends the stream if the link is lost.
@@ -418,6 +427,12 @@
 		Stream: stream, Status: a.Status, Header: flattenHeader(a.Header), BodyBytes: a.BodyBytes, Body: inline, More: more,
 		Load: r.Load, NestedFailed: r.NestedFailed,
 	}
+	if head.NeedsByteStrings() && !m.readsByteStrings.Load() {
+		_ = m.sendResult(transport.KindAttemptFailed, failedFrame{ // The peer detects a lost link itself.
+			Stream: stream, Outcome: call.Broken, Reason: call.ReasonHostCannotRead, Sent: true, Load: r.Load,
+		})
+		return
+	}
 	if err := m.sendResult(transport.KindResponseHead, head); err != nil || !more {
 		return
 	}
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -374,6 +374,9 @@
 		state.acceptsDeltas = true
 		state.mux.SetConfirms()
 	}
+	if s.Protocol >= protocolByteStrings {
+		state.mux.SetReadsByteStrings()
+	}
 	d.mu.Unlock()
 	d.applyStatus(l, state.mux, s)
 }
--- a/peers/links.go
+++ b/peers/links.go
@@ -90,7 +90,7 @@
 	}
 	d.mu.Unlock()
 	status := d.config.LocalStatus()
-	status.Record, status.LimitedEndpoint, status.Protocol = &d.config.Self, limited, protocolReceipts
+	status.Record, status.LimitedEndpoint, status.Protocol = &d.config.Self, limited, currentProtocol
 	status.ReceiverDeparted = departed
 	_ = l.Send(transport.KindHostStatus, status) // The queue of a new link has room.
 	eventPeerUp.Log(d.config.Logger, "host", l.Peer())
--- a/peers/types.go
+++ b/peers/types.go
@@ -132,6 +132,12 @@
 // that they receive, and hold calls until they are released.
 const protocolReceipts = 1
 
+// protocolByteStrings is the version from which hosts read strings that are not UTF-8.
+const protocolByteStrings = 2
+
+// currentProtocol is the version of this program.
+const currentProtocol = protocolByteStrings
+
 // LimitedEndpoint is an endpoint that takes a limited rate of calls.
 type LimitedEndpoint struct {
 	_              struct{} `cbor:",toarray"`
--- a/transport/frame.go
+++ b/transport/frame.go
@@ -29,12 +29,22 @@
 )
 
 var (
-	encodeMode = lo.Must(encodeOptions().EncMode())
-	decodeMode = lo.Must(cbor.DecOptions{
+	encodeMode     = lo.Must(encodeOptions().EncMode())
+	byteEncodeMode = lo.Must(byteEncodeOptions().EncMode())
+	decodeMode     = lo.Must(cbor.DecOptions{
 		MaxArrayElements: maxArrayElements, MaxMapPairs: maxMapPairs, MaxNestedLevels: maxNesting,
+		ByteStringToString: cbor.ByteStringToStringAllowed,
 	}.DecMode())
 )
 
+// ByteStringer is implemented by bodies whose strings may hold bytes that are not UTF-8,
+// which no text string of CBOR may.
+type ByteStringer interface {
+	// NeedsByteStrings reports whether a string of the body is not UTF-8. All strings of
+	// the body are then sent as byte strings.
+	NeedsByteStrings() bool
+}
+
 // encodeOptions returns canonical CBOR options that keep the nanoseconds of times.
 func encodeOptions() cbor.EncOptions {
 	options := cbor.CanonicalEncOptions()
@@ -42,13 +52,23 @@
 	return options
 }
 
+func byteEncodeOptions() cbor.EncOptions {
+	options := encodeOptions()
+	options.String = cbor.StringToByteString
+	return options
+}
+
 // EncodeFrame returns a frame: a CBOR sequence of kind and body.
 func EncodeFrame(kind Kind, body any) ([]byte, error) {
 	head, err := encodeMode.Marshal(kind)
 	if err != nil {
 		return nil, errors.Wrap(err, "transport: encode kind")
 	}
-	encoded, err := encodeMode.Marshal(body)
+	mode := encodeMode
+	if b, ok := body.(ByteStringer); ok && b.NeedsByteStrings() {
+		mode = byteEncodeMode
+	}
+	encoded, err := mode.Marshal(body)
 	if err != nil {
 		return nil, errors.Wrapf(err, "transport: encode message of kind %d", kind)
 	}
