soak: endpoints that leave, with late announcements, and their successors

An endpoint of each seed drains or deregisters, stays for 8 s while announcements that it sent before arrive up to 5 s late, and is replaced by a later incarnation with its ID. Restarts, kills and faults of the store come meanwhile. It must get no call later than 2 s after the acknowledgement through a host without faults in the 3 s before; a promise like that of the platform. Its plan is drawn from a stream of its own, so that the other faults of a seed are unchanged.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -70,6 +70,7 @@
 	storeFaultyUntil time.Time
 	executions       map[string][]*execution
 	rateNamedAt      time.Time
+	departures       []departure
 	failures         []string
 	// stalls are the times in which the test process itself was delayed.
 	stalls []string
@@ -100,6 +101,11 @@
 	rate atomic.Int64
 	// flood is what the endpoint sends in place of responses, nil for none.
 	flood atomic.Pointer[flood]
+	// endpointStart is the start of the endpoint's incarnation, and sequence that of its
+	// announcements, which isSilent suspends.
+	endpointStart atomic.Int64
+	sequence      atomic.Int64
+	isSilent      atomic.Bool
 	// processMu serializes starting, stopping and signalling the process.
 	// stopExpected is set while the test ends the process.
 	processMu    sync.Mutex
@@ -125,6 +131,7 @@
 		for offset, name := range []string{"endpoint", "calls", "peers", "ready", "announcements", "metrics", "advertised", "store"} {
 			h.addresses[name] = fmt.Sprintf("127.%d.%d.%d:%d", 128+pid>>16&63, pid>>8&255, pid&255, firstPort+portsPerHost*i+offset)
 		}
+		h.endpointStart.Store(standin.EndpointStart)
 		h.peerProxy = newProxy(h.addresses["advertised"], h.addresses["peers"])
 		h.storeProxy = newProxy(h.addresses["store"], c.store.Address())
 		h.endpoint = &http.Server{Addr: h.addresses["endpoint"], Handler: standin.EndpointHandler(h.serveCall)}
@@ -324,11 +331,9 @@
 
 // announce sends the heartbeat of the endpoint to its host twice a second.
 func (h *host) announce() {
-	client := &http.Client{Timeout: time.Second}
-	for sequence := 1; ; sequence++ {
-		path, body := standin.Heartbeat("i-"+h.name, h.addresses["endpoint"], h.service, "d", "ready", sequence)
-		if response, err := client.Post("http://"+h.addresses["announcements"]+path, "application/json", strings.NewReader(body)); err == nil {
-			_ = response.Body.Close() // The response is not read.
+	for {
+		if !h.isSilent.Load() {
+			h.post(h.heartbeat("ready"))
 		}
 		select {
 		case <-h.cluster.done:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -69,7 +69,7 @@
 // a call reported as not executed was not executed, responses are complete and
 // belong to their calls, a new plan is active within planDeadline and is never
 // replaced by an older one, planned work loses no call, pipelined ones included, an
-// endpoint gets no more calls than it takes, and all services are available again within recoveryTimeout of the last fault.
+// endpoint gets no more calls than it takes and none after it has left, and all services are available again within recoveryTimeout of the last fault.
 func TestPromisesUnderFaults(t *testing.T) {
 	run := func(seed uint64, cause string) {
 		Convey(fmt.Sprintf("seed %d %s", seed, cause), t, func() {
@@ -110,6 +110,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { c.silenceConnections(rand.New(rand.NewPCG(seed, silenceStream)), faultPeriod) })
 	running.Go(func() { c.injectPlannedWork(rand.New(rand.NewPCG(seed, plannedStream)), faultPeriod*3/2) })
+	running.Go(func() { c.replaceEndpoint(rand.New(rand.NewPCG(seed, departureStream))) })
 	time.Sleep(faultPeriod / 2)
 	c.injectFaults(faultPeriod)
 	running.Wait()
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -295,6 +295,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.checkRate()
+	c.checkDepartures()
 	return c.failures
 }
 
