peers: bound the departures that are taken from a report

A report may hold up to a million entries; only the latest ones that a host sends are taken. Found by reading. Comments of departureWriter and learnDepartures say when departures are forgotten and why a source without any ends the deferral.

--- a/hostnode/departures.go
+++ b/hostnode/departures.go
@@ -55,9 +55,10 @@
 
 // departureWriter keeps the departures that this process acknowledges in the store, for
 // the next process of the host. It writes them under the lease of the host's record, which
-// outlives this process by less than leaseLifetime.
+// outlives this process by less than leaseLifetime: the store forgets them with the lease,
+// as the platform's announcements are only seconds late.
 type departureWriter struct {
-	// list returns the latest departures.
+	// list returns the latest departures that this process knows.
 	list func() departures.List
 	// changed signals that there may be departures to write.
 	changed chan struct{}
@@ -165,8 +166,10 @@
 	}
 }
 
-// learnDepartures records endpoints that have left as the store or another host knows it,
-// and applies the announcements that were deferred until then.
+// learnDepartures records endpoints that have left as the store or another host knows it.
+// It then applies the deferred announcements, also when the source knows of no departure:
+// the store may be unavailable for long, and a departure that is learned later still takes
+// effect.
 func (n *Node) learnDepartures(known departures.List, source string) {
 	if added := n.registration.RecordDepartures(known); len(added) > 0 {
 		n.registrar.departures.recordLearned(added)
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
@@ -401,8 +402,8 @@
 			l.SetMeter(&d.localTraffic)
 		}
 	}
-	if p != nil && len(s.Departed) > 0 {
-		p.addDeparted(s.Departed...)
+	if p != nil {
+		p.addDeparted(s.Departed.Latest(departures.MaxShared)...)
 	}
 	if p == nil || d.manager.Link(l.Peer()) != l {
 		// A report on a link that another one has replaced must not restore the mux
@@ -528,20 +529,13 @@
 func (p *Peer) IsLeaving(e *EndpointStatus) bool { return p.departures().Covers(e.ID, e.StartedAtMs) }
 
 // departures returns the latest endpoints of the host that have left.
-func (p *Peer) departures() departures.List {
-	if l := p.departed.Load(); l != nil {
-		return *l
-	}
-	return nil
-}
+func (p *Peer) departures() departures.List { return lo.FromPtr(p.departed.Load()) }
 
+// addDeparted adds endpoints of the host that have left.
 func (p *Peer) addDeparted(added ...departures.Departure) {
 	for {
-		var known departures.List
 		old := p.departed.Load()
-		if old != nil {
-			known = *old
-		}
+		known := lo.FromPtr(old)
 		if len(departures.List(added).Without(known)) == 0 {
 			return
 		}
