soak: do not take late responses for bytes behind "Connection: close"

Cause: the client waits for the close also after a request that it has given up, 5 s after it was sent, and took the response that then came for bytes behind an announced close. The process of host-c had been paused for 4.75 s (event 2505 at 22:01:08.8, gap_ms 4748). No call of the failure was recorded, so that the trace shows that the check can accuse falsely and that the pause fits, not which request it was.

Change: the check applies after a response with "Connection: close", as its text says.

--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -42,6 +42,8 @@
 	writeErr error
 	// closing is set when no further request may be sent.
 	closing bool
+	// closeAnnounced is set when a response had "Connection: close".
+	closeAnnounced bool
 	// unchecked is set if the calls are not recorded.
 	unchecked bool
 }
@@ -108,14 +110,18 @@
 		k.host.cluster.fail("%s sent %d bytes behind the response to %s, to which no request belongs", k.host.name, k.reader.Buffered(), call)
 	}
 	if response.Close {
-		k.closing = true
+		k.closing, k.closeAnnounced = true, true
 		k.abandon(errBehindClose)
 	}
 }
 
-// awaitClose waits until the host closes the connection. No bytes may follow a response
-// with "Connection: close".
+// awaitClose waits until the host closes the connection, if it has announced that. No bytes
+// may follow a response with "Connection: close". After a request that the client has given
+// up, its response may.
 func (k *clientConn) awaitClose() {
+	if !k.closeAnnounced {
+		return
+	}
 	_ = k.conn.SetReadDeadline(time.Now().Add(closeTimeout)) // The next read returns the error.
 	if n, _ := io.Copy(io.Discard, k.reader); n > 0 {
 		k.host.cluster.fail("%s sent %d bytes behind a response with Connection: close", k.host.name, n)
