--- a/hostnode/departures.go
+++ b/hostnode/departures.go
@@ -56,7 +56,7 @@
 // departureWriter keeps the departures that this process acknowledges in the store, for
 // the next process of the host. It writes them under the lease of the host's record, which
 // outlives this process by less than leaseLifetime: the store forgets them with the lease,
-// as the platform's announcements are only seconds late.
+// as announcements are only seconds late.
 type departureWriter struct {
 	// list returns the latest departures that this process knows.
 	list func() departures.List
