Interfaces for workspaces, quotas, roll-outs and links of hosts

Cause: parts for callers that share endpoints are built side by side and need common types first. Change: workspaces in route plans, as fingerprints of their keys; workspace and ranks of a call, the rank of the route apart from the one that orders it; kinds of messages and hooks for them; where the ingress asks for quotas and versions. Measured: go test of the packages named in the change passes; the service times of slotqueue are by the rank of the route, as before.

--- a/call/call.go
+++ b/call/call.go
@@ -26,7 +26,16 @@
 	Caller  mesh.ServiceName
 	Service mesh.ServiceName
 	Kind    routeplan.Kind
-	Rank    uint8
+	// Rank is the rank of the workspace or else of the route, for a nested call that of
+	// its parent. ClassRank is the rank of the route in either case: calls of one route
+	// have similar service times, whoever makes them.
+	Rank      uint8
+	ClassRank uint8
+	// Workspace is the workspace that the call uses the share of, for a nested call that
+	// of its parent; empty if there is none.
+	Workspace mesh.WorkspaceName
+	// ResponseBytes is the expected length of the response, 0 when it is not known.
+	ResponseBytes int64
 	// Nested is set for a call that the endpoint made while it executed another one.
 	Nested bool
 	// Remaining is the time until the deadline of the caller or the timeout of
@@ -115,6 +124,9 @@
 	ReasonBodyIncomplete     = "request_body_incomplete"
 	ReasonConnectionClosed   = "connection_closed"
 	ReasonNodeStopping       = "node_stopping"
+	ReasonUnknownKey         = "unknown_key"
+	ReasonQuotaExceeded      = "quota_exceeded"
+	ReasonLinkFull           = "link_full"
 )
 
 // ErrNodeStopping is the cause of a cancelled context when the node that accepted the
--- a/call/headers.go
+++ b/call/headers.go
@@ -39,3 +39,12 @@
 	// SetRequestID sets the ID of the request that a response of the node belongs to.
 	SetRequestID(h http.Header, id string)
 }
+
+// KeyHeaders reads and writes the headers of keys and workspaces.
+type KeyHeaders interface {
+	// TakeKey returns the key of a client's request, or the empty string, and removes it
+	// and any name of a workspace from the headers.
+	TakeKey(h http.Header) string
+	// SetWorkspace names the workspace that a request belongs to.
+	SetWorkspace(h http.Header, name mesh.WorkspaceName)
+}
--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -354,7 +354,7 @@
 	}
 	c := &call.Call{
 		ID: f.ID, Method: f.Method, URI: f.URI, Host: f.Host, Header: unflattenHeader(f.Header),
-		Caller: f.Caller, Service: f.Service, Kind: f.Kind, Rank: f.Rank, Nested: f.Nested,
+		Caller: f.Caller, Service: f.Service, Kind: f.Kind, Rank: f.Rank, ClassRank: f.Rank, Nested: f.Nested,
 		Remaining: f.Remaining, TargetRemaining: f.TargetRemaining, BodyBytes: f.BodyBytes,
 	}
 	delay := m.TransitDelay(f.SentAt)
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -12,6 +12,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/routeplan"
 )
 
 // exchange is a request of a connection and its response.
@@ -24,6 +25,10 @@
 	// connection is complete, done when the response to this one is.
 	previousDone, done chan struct{}
 	closeAfter         bool
+	// parentClassRank is the class rank of the parent of a nested call.
+	parentClassRank uint8
+	// workspace is that of the client's key, nil for nested calls and without keys.
+	workspace *routeplan.Workspace
 	// streamed is the request body if it is forwarded while it arrives, else nil.
 	streamed *streamedBody
 }
@@ -125,7 +130,8 @@
 		return false
 	}
 	x.ClientTimeout = clientTimeout
-	x.Rank, x.Nested = c.server.config.RunningCalls.ParentRank(id)
+	parent, nested := c.server.config.RunningCalls.Parent(id)
+	x.Rank, x.Workspace, x.parentClassRank, x.Nested = parent.Rank, parent.Workspace, parent.ClassRank, nested
 	if failure := x.matchRoute(request); failure != nil {
 		x.closeAfter = x.closeAfter || request.ContentLength != 0
 		x.writeFailure(failure.status, failure.reason, failure.retryAfter)
@@ -180,8 +186,9 @@
 	if x.ClientTimeout > 0 {
 		timeout = min(timeout, x.ClientTimeout)
 	}
+	classRank := x.parentClassRank
 	if !x.Nested {
-		x.Rank = x.Route.Rank
+		x.Rank, classRank = x.Route.Rank, x.Route.Rank
 	}
 	if !x.Nested && x.ClientTimeout > 0 {
 		x.Age = s.ages.Observe(x.Route, x.ClientTimeout, x.started)
@@ -189,7 +196,7 @@
 	removeConnectionHeaders(request.Header)
 	return &call.Call{
 		ID: x.ID, Method: request.Method, URI: request.RequestURI, Host: request.Host, Header: request.Header,
-		Caller: s.config.LocalService(), Service: part.Service, Kind: x.Route.Kind, Rank: x.Rank, Nested: x.Nested,
+		Caller: s.config.LocalService(), Service: part.Service, Kind: x.Route.Kind, Rank: x.Rank, ClassRank: classRank, Workspace: x.Workspace, Nested: x.Nested,
 		Remaining: timeout, TargetRemaining: min(x.Route.LatencyTarget-x.Age, timeout), BodyBytes: request.ContentLength,
 	}
 }
@@ -254,12 +261,16 @@
 
 // forward forwards the call and writes its response.
 func (x *exchange) forward(ctx context.Context, cl *call.Call) {
+	if !x.admit(ctx) {
+		return
+	}
 	forwarder := x.c.server.config.Forwarder
 	elapsed := x.c.server.config.Clock() - x.started
 	cl.Remaining -= elapsed
 	cl.TargetRemaining -= elapsed
 	r, state := forwarder.Forward(ctx, cl, x.Route)
 	x.Result, x.Reason, x.SentAttempts, x.Rejections, x.Host = r, r.Reason, state.sentAttempts, state.rejections, state.lastHost
+	x.refund()
 	switch r.Outcome {
 	case call.Answered:
 		x.writeResponse(r.Response)
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -273,7 +273,7 @@
 // reached at.
 func (s *callState) candidates() ([]placement.Candidate, []destination) {
 	remotes := s.forwarder.Peers.ByService(s.c.Service)
-	class := slotqueue.Class{Kind: s.c.Kind, Rank: s.c.Rank, Nested: s.c.Nested}
+	class := slotqueue.Class{Kind: s.c.Kind, Rank: s.c.ClassRank, Nested: s.c.Nested}
 	candidates := make([]placement.Candidate, 0, len(remotes)+1)
 	destinations := make([]destination, 0, len(remotes)+1)
 	add := func(c placement.Candidate, d destination) {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -56,8 +56,10 @@
 	PlanVersion uint64
 	// Nested is set for a call that the endpoint makes while it executes another.
 	Nested bool
-	// Rank is that of the route, or for a nested call that of its parent.
-	Rank uint8
+	// Rank is that of the workspace or else of the route, or for a nested call that of its
+	// parent, whose workspace it has as well.
+	Rank      uint8
+	Workspace mesh.WorkspaceName
 	// ClientTimeout is the timeout that the client states, 0 when it states none.
 	ClientTimeout time.Duration
 	// Age is the estimated time since the client's first attempt.
@@ -89,6 +91,8 @@
 	LocalService func() mesh.ServiceName
 	// RunningCalls tracks the calls that the endpoint of this host is executing.
 	RunningCalls *localendpoint.RunningCalls
+	// Quotas limits the calls of workspaces; nil limits nothing.
+	Quotas Quotas
 }
 
 // Server serves the connections of clients.
--- a/localendpoint/gate.go
+++ b/localendpoint/gate.go
@@ -64,7 +64,7 @@
 	}
 	deadline := arrived + c.Remaining
 	queued := slotqueue.Call{
-		Class:    slotqueue.Class{Kind: c.Kind, Rank: c.Rank, Nested: c.Nested},
+		Class: slotqueue.Class{Kind: c.Kind, Rank: c.ClassRank, Nested: c.Nested}, Rank: c.Rank, Workspace: c.Workspace,
 		TargetBy: arrived + c.TargetRemaining, DeadlineBy: deadline,
 	}
 	remote, _ := c.Body.(call.RemoteBody)
@@ -96,7 +96,7 @@
 		x.releaseSlot(r)
 		return g.report(c, e, r, started-arrived, 0)
 	}
-	g.RunningCalls.add(c.ID, c.Rank)
+	g.RunningCalls.add(c.ID, Parent{Rank: c.Rank, ClassRank: c.ClassRank, Workspace: c.Workspace})
 	r := x.roundTrip(ctx)
 	r.NestedFailed = g.RunningCalls.remove(c.ID)
 	if r.Response == nil || r.Response.Stream == nil {
--- a/localendpoint/registration_test.go
+++ b/localendpoint/registration_test.go
@@ -195,9 +195,9 @@
 func TestParentsAreRunningCalls(t *testing.T) {
 	Convey("without running calls no call has a parent", t, func() {
 		r := localendpoint.NewRunningCalls()
-		_, found := r.ParentRank("a.b")
+		_, found := r.Parent("a.b")
 		So(found, ShouldBeFalse)
-		_, found = r.ParentRank("plain")
+		_, found = r.Parent("plain")
 		So(found, ShouldBeFalse)
 	})
 }
--- a/localendpoint/running.go
+++ b/localendpoint/running.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"sync"
+
+	"geraniumnotch.example/geraniumnotch/mesh"
 )
 
 // RunningCalls tracks the calls that the endpoint is executing, to distinguish the
@@ -14,9 +16,15 @@
 	calls map[string]*runningCall
 }
 
+// Parent holds what nested calls take over from the call that makes them.
+type Parent struct {
+	Rank, ClassRank uint8
+	Workspace       mesh.WorkspaceName
+}
+
 // runningCall is a call that the endpoint is executing.
 type runningCall struct {
-	rank uint8
+	Parent
 	// nestedFailed is set when a nested call of it had no successful response.
 	nestedFailed bool
 }
@@ -24,10 +32,10 @@
 // NewRunningCalls returns an empty registry.
 func NewRunningCalls() *RunningCalls { return &RunningCalls{calls: map[string]*runningCall{}} }
 
-func (r *RunningCalls) add(id string, rank uint8) {
+func (r *RunningCalls) add(id string, p Parent) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.calls[id] = &runningCall{rank: rank}
+	r.calls[id] = &runningCall{Parent: p}
 }
 
 // remove removes a call and reports whether a nested call of it failed.
@@ -39,15 +47,15 @@
 	return p != nil && p.nestedFailed
 }
 
-// ParentRank returns the rank of the running call that is the parent of the call
-// with the given ID. It reports false when the call has no running parent.
-func (r *RunningCalls) ParentRank(id string) (rank uint8, found bool) {
+// Parent returns what the call with the given ID takes over from the running call that is
+// its parent. It reports false when the call has no running parent.
+func (r *RunningCalls) Parent(id string) (parent Parent, found bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p := r.findParent(id); p != nil {
-		return p.rank, true
+		return p.Parent, true
 	}
-	return 0, false
+	return Parent{}, false
 }
 
 // MarkNestedFailed marks the parent of the nested call with the given ID: the nested
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -24,6 +24,9 @@
 // ServiceName names a service that endpoints offer.
 type ServiceName string
 
+// WorkspaceName names a workspace: those who share API keys, a rank and a quota.
+type WorkspaceName string
+
 // RouteName names a route in the allowances list, in the form PLAN/NAME.
 type RouteName string
 
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -86,6 +86,9 @@
 	// OnReceiverDeparted is called with the first report on each link, and the endpoints of
 	// this host that have left as the peer knows it; nil ignores them.
 	OnReceiverDeparted func(known departures.List, from mesh.HostID)
+	// Handlers handle the messages of other packages, by kind. They must not block. An
+	// error is logged and costs the message only.
+	Handlers map[transport.Kind]func(from mesh.HostID, m transport.Message) error
 }
 
 // Peer is another host. Each placement reads its atomics without the directory's
@@ -124,6 +127,8 @@
 	received *Status
 	// acceptsDeltas is set when the peer reads deltas.
 	acceptsDeltas bool
+	// knowsWorkspaces is set when the peer knows workspaces, quotas and roll-outs.
+	knowsWorkspaces bool
 	// sentBase is the number of the latest whole report that was sent on the link, 0 for
 	// none.
 	sentBase uint64
@@ -348,10 +353,32 @@
 			return err
 		}
 		d.config.OnPlan(plan, l.Peer())
+	default:
+		if handle := d.config.Handlers[m.Kind]; handle != nil {
+			if err := handle(l.Peer(), m); err != nil {
+				eventBadFrame.Log(d.config.Logger, "host", l.Peer(), "kind", int(m.Kind), "error", err)
+			}
+		}
 	}
 	return nil
 }
 
+// ErrNoPeer means that a host has no link, or runs an earlier program that does not know
+// the message.
+var ErrNoPeer = errors.New("peers: host is not reachable or does not know the message")
+
+// Send sends a message of another package to a host. It does not wait.
+func (d *Directory) Send(to mesh.HostID, kind transport.Kind, body any) error {
+	l := d.manager.Link(to)
+	d.mu.Lock()
+	state := d.links[l]
+	d.mu.Unlock()
+	if l == nil || state == nil || !state.knowsWorkspaces {
+		return ErrNoPeer
+	}
+	return l.Send(kind, body)
+}
+
 // errStatusDelta means that a delta has no base or numbers that no host has.
 var errStatusDelta = errors.New("peers: malformed status delta")
 
@@ -375,6 +402,9 @@
 		state.acceptsDeltas = true
 		state.mux.SetConfirms()
 	}
+	if s.Protocol >= protocolWorkspaces {
+		state.knowsWorkspaces = true
+	}
 	if s.Protocol >= protocolByteStrings {
 		state.mux.SetReadsByteStrings()
 	}
--- a/peers/types.go
+++ b/peers/types.go
@@ -135,8 +135,11 @@
 // protocolByteStrings is the version from which hosts read strings that are not UTF-8.
 const protocolByteStrings = 2
 
+// protocolWorkspaces is the version from which hosts know workspaces, quotas and roll-outs.
+const protocolWorkspaces = 3
+
 // currentProtocol is the version of this program.
-const currentProtocol = protocolByteStrings
+const currentProtocol = protocolWorkspaces
 
 // LimitedEndpoint is an endpoint that takes a limited rate of calls.
 type LimitedEndpoint struct {
--- a/routeplan/routeplan.go
+++ b/routeplan/routeplan.go
@@ -78,6 +78,9 @@
 	// MaxAttempts is the number of endpoints that one call may be sent to.
 	MaxAttempts int
 	Split       []WeightedService
+	// Public is set when calls on the route need no key. Hosts exchange it apart from the
+	// other fields, see Delta.
+	Public bool `cbor:"-"`
 }
 
 // Service describes a service of the plan.
@@ -104,7 +107,10 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Workspaces is empty when calls need no keys.
+	Workspaces []Workspace
 
+	byKey    map[Fingerprint]*Workspace
 	byHost   map[string]map[string]*Route
 	services map[mesh.ServiceName]*Service
 }
@@ -122,6 +128,9 @@
 	for i := range p.Services {
 		p.services[p.Services[i].Name] = &p.Services[i]
 	}
+	if err := p.indexWorkspaces(); err != nil {
+		return err
+	}
 	p.byHost = map[string]map[string]*Route{}
 	for i := range p.Routes {
 		if err := p.addRoute(&p.Routes[i]); err != nil {
--- /dev/null
+++ b/routeplan/workspace.go
@@ -0,0 +1,80 @@
+package routeplan
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"math"
+
+	"github.com/cockroachdb/errors"
+
+	"geraniumnotch.example/geraniumnotch/mesh"
+)
+
+// Errors of Compile for workspaces.
+var (
+	ErrWorkspace = errors.New("routeplan: malformed workspace")
+	ErrSharedKey = errors.New("routeplan: two workspaces with the same key")
+)
+
+// Fingerprint identifies a key without revealing it. Plans, logs and messages between
+// hosts hold fingerprints only. 128 bits of SHA-256 leave no chance of two keys with the
+// same one.
+type Fingerprint [16]byte
+
+// FingerprintOf returns the fingerprint of a key.
+func FingerprintOf(key string) Fingerprint {
+	digest := sha256.Sum256([]byte(key))
+	return Fingerprint(digest[:16])
+}
+
+// String returns the first 8 hexadecimal digits, for logs.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:4]) }
+
+// Workspace is a group of callers that share keys, a rank and a quota.
+type Workspace struct {
+	_    struct{} `cbor:",toarray"`
+	Name mesh.WorkspaceName
+	Keys []Fingerprint
+	// Rank replaces the rank of the route if HasRank is set.
+	HasRank bool
+	Rank    uint8
+	// CallsPerSecond and Burst are the quota over all hosts; no limit if CallsPerSecond
+	// is 0.
+	CallsPerSecond float64
+	Burst          float64
+}
+
+// HasQuota reports whether the calls of the workspace are limited.
+func (w *Workspace) HasQuota() bool { return w.CallsPerSecond > 0 }
+
+// indexWorkspaces validates the workspaces and builds the index of their keys.
+func (p *Plan) indexWorkspaces() error {
+	p.byKey = make(map[Fingerprint]*Workspace, len(p.Workspaces))
+	names := make(map[mesh.WorkspaceName]bool, len(p.Workspaces))
+	for i := range p.Workspaces {
+		w := &p.Workspaces[i]
+		if w.Name == "" || names[w.Name] {
+			return errors.Wrapf(ErrWorkspace, "name %q is empty or used twice", w.Name)
+		}
+		names[w.Name] = true
+		if !isQuota(w.CallsPerSecond) || !isQuota(w.Burst) {
+			return errors.Wrapf(ErrWorkspace, "%s: %g calls a second, burst %g", w.Name, w.CallsPerSecond, w.Burst)
+		}
+		for _, key := range w.Keys {
+			if other := p.byKey[key]; other != nil && other != w {
+				return errors.Wrapf(ErrSharedKey, "%s and %s", other.Name, w.Name)
+			}
+			p.byKey[key] = w
+		}
+	}
+	return nil
+}
+
+func isQuota(f float64) bool { return f >= 0 && !math.IsInf(f, 1) }
+
+// RequiresKeys reports whether calls on routes that are not public need a key.
+func (p *Plan) RequiresKeys() bool { return len(p.Workspaces) > 0 }
+
+// WorkspaceOf returns the workspace that holds the key, or nil. The look-up is by the hash
+// of the key, so that its duration tells nothing about the keys of the plan.
+func (p *Plan) WorkspaceOf(key string) *Workspace { return p.byKey[FingerprintOf(key)] }
--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -15,6 +15,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/routeplan"
 )
 
@@ -57,7 +58,8 @@
 
 // Class groups calls with similar service times.
 type Class struct {
-	Kind   routeplan.Kind
+	Kind routeplan.Kind
+	// Rank is that of the route, whoever makes the call.
 	Rank   uint8
 	Nested bool
 }
@@ -65,6 +67,10 @@
 // Call is a call that asks for a slot.
 type Call struct {
 	Class Class
+	// Rank orders the calls; Workspace is the workspace whose share of the slots the call
+	// uses, empty if there is none.
+	Rank      uint8
+	Workspace mesh.WorkspaceName
 	// TargetBy is when the latency target ends, after which the answer no longer
 	// has its full value; DeadlineBy is when the caller stops waiting.
 	TargetBy   boottime.Time
@@ -262,8 +268,8 @@
 	if lateA, lateB := q.isLate(a, now), q.isLate(b, now); lateA != lateB {
 		return lateB
 	}
-	if a.call.Class.Rank != b.call.Class.Rank {
-		return a.call.Class.Rank < b.call.Class.Rank
+	if a.call.Rank != b.call.Rank {
+		return a.call.Rank < b.call.Rank
 	}
 	if a.call.TargetBy != b.call.TargetBy {
 		return a.call.TargetBy < b.call.TargetBy
--- a/slotqueue/slotqueue_test.go
+++ b/slotqueue/slotqueue_test.go
@@ -34,7 +34,7 @@
 }
 
 func newCall(rank uint8, nested bool, now, target, deadline time.Duration) slotqueue.Call {
-	return slotqueue.Call{Class: class(rank, nested), TargetBy: now + target, DeadlineBy: now + deadline}
+	return slotqueue.Call{Class: class(rank, nested), Rank: rank, TargetBy: now + target, DeadlineBy: now + deadline}
 }
 
 func granted(t *slotqueue.Ticket) bool {
@@ -272,7 +272,7 @@
 
 // offer offers a call that the client sent for the first time at firstOffered.
 func (s *simulation) offer(rank uint8, firstOffered, target, deadline, serviceTime time.Duration, isRetry bool) {
-	c := slotqueue.Call{Class: class(rank, false), TargetBy: firstOffered + target, DeadlineBy: firstOffered + deadline}
+	c := slotqueue.Call{Class: class(rank, false), Rank: rank, TargetBy: firstOffered + target, DeadlineBy: firstOffered + deadline}
 	ticket, rejection := s.q.Offer(c, s.now)
 	if rejection != nil {
 		s.retryOnce(rank, firstOffered, target, deadline, serviceTime, isRetry, rejection.RetryAfter)
@@ -389,7 +389,7 @@
 		q := newQueue(4)
 		short, long := slotqueue.Class{Kind: routeplan.Download, Rank: 2}, slotqueue.Class{Kind: routeplan.Idempotent, Rank: 2}
 		execute := func(class slotqueue.Class, serviceTime time.Duration, now boottime.Time) {
-			ticket, _ := q.Offer(slotqueue.Call{Class: class, TargetBy: now + time.Second, DeadlineBy: now + 2*time.Second}, now)
+			ticket, _ := q.Offer(slotqueue.Call{Class: class, Rank: class.Rank, TargetBy: now + time.Second, DeadlineBy: now + 2*time.Second}, now)
 			<-ticket.Ready()
 			q.Release(ticket, serviceTime, now)
 		}
--- a/slotqueue/startlimit_test.go
+++ b/slotqueue/startlimit_test.go
@@ -37,7 +37,7 @@
 }
 
 func (l *limitedLoad) offer(class slotqueue.Class) {
-	t, rejection := l.queue.Offer(slotqueue.Call{Class: class, TargetBy: l.now + 500*ms, DeadlineBy: l.now + 2*time.Second}, l.now)
+	t, rejection := l.queue.Offer(slotqueue.Call{Class: class, Rank: class.Rank, TargetBy: l.now + 500*ms, DeadlineBy: l.now + 2*time.Second}, l.now)
 	if rejection != nil {
 		l.rejections++
 		return
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -42,6 +42,11 @@
 	KindCallHeld
 	KindCallReceived
 	KindCallRelease
+	KindCallOpenFor
+	KindKeyedPlanValue
+	KindWorkspaceDemand
+	KindWorkspaceGrant
+	KindRolloutState
 )
 
 // String returns the name of the kinds that nodes beside an endpoint exchange, for
@@ -52,9 +57,9 @@
 		return "handshake"
 	case KindHostStatus, KindHostStatusDelta:
 		return "status"
-	case KindPlanRequest, KindPlanValue:
+	case KindPlanRequest, KindPlanValue, KindKeyedPlanValue:
 		return "plan"
-	case KindCallOpen, KindCallHeld:
+	case KindCallOpen, KindCallHeld, KindCallOpenFor:
 		return "call"
 	case KindCallReceived, KindCallRelease:
 		return "receipt"
@@ -66,6 +71,10 @@
 		return "response_body"
 	case KindCallCredit, KindResponseCredit:
 		return "credit"
+	case KindWorkspaceDemand, KindWorkspaceGrant:
+		return "quota"
+	case KindRolloutState:
+		return "rollout"
 	case KindCallCancel, KindAttemptFailed:
 		return "end"
 	default:
