Keys of clients: 401, workspace of a call, plans with workspaces between hosts

Change: ingress removes the key and any name of a workspace from each request if the plan has workspaces, rejects unknown and missing keys with 401 before a body is read, and names the workspace to the endpoint. A key that comes with the ID of a nested call makes it a call of a client. A request without a key and with the ID of a nested call whose parent is not known gets 503. Plans with workspaces pass between hosts by KindKeyedPlanValue; hosts that may have such a plan take none from earlier programs. Without workspaces the messages are the same as before.

--- a/call/call.go
+++ b/call/call.go
@@ -125,6 +125,7 @@
 	ReasonConnectionClosed   = "connection_closed"
 	ReasonNodeStopping       = "node_stopping"
 	ReasonUnknownKey         = "unknown_key"
+	ReasonUnknownParent      = "unknown_parent"
 	ReasonQuotaExceeded      = "quota_exceeded"
 	ReasonLinkFull           = "link_full"
 )
--- a/callmux/malformed_test.go
+++ b/callmux/malformed_test.go
@@ -71,7 +71,7 @@
 		f.Add(uint8(m.Kind), m.Body)
 	}
 	f.Fuzz(func(t *testing.T, kind uint8, body []byte) {
-		if k := transport.Kind(kind); k == transport.KindCallOpen || k == transport.KindCallHeld {
+		if k := transport.Kind(kind); k == transport.KindCallOpen || k == transport.KindCallHeld || k == transport.KindCallOpenFor {
 			return // These need a link.
 		}
 		mux, o, in := newStreams()
--- a/callmux/messages.go
+++ b/callmux/messages.go
@@ -58,6 +58,28 @@
 	More bool
 }
 
+// openForFrame starts a call of a workspace, or one with an expected long response.
+type openForFrame struct {
+	_    struct{} `cbor:",toarray"`
+	Open openFrame
+	// Held is set if the receiver must not execute the call before it is released.
+	Held          bool
+	Workspace     mesh.WorkspaceName
+	ClassRank     uint8
+	ResponseBytes int64
+}
+
+// NeedsByteStrings implements transport.ByteStringer.
+func (f openForFrame) NeedsByteStrings() bool { return f.Open.NeedsByteStrings() }
+
+// validate returns an error unless the frame starts a call that needs it.
+func (f *openForFrame) validate() error {
+	if f.ResponseBytes < 0 || f.Workspace == "" && f.ResponseBytes == 0 {
+		return errors.Wrapf(ErrMessage, "call without a workspace and with a response of %d bytes", f.ResponseBytes)
+	}
+	return nil
+}
+
 // dataFrame is a chunk of a body. End marks the last chunk, Broken a body that cannot
 // be completed.
 type dataFrame struct {
--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -29,6 +29,9 @@
 	// readsByteStrings is set when the peer reads strings that are not UTF-8. Others would
 	// close the link.
 	readsByteStrings atomic.Bool
+	// knowsWorkspaces is set when the peer knows workspaces. Others would ignore the
+	// message that starts a call of one.
+	knowsWorkspaces atomic.Bool
 	// onSilence is called when the peer confirms nothing and sends nothing else.
 	onSilence func()
 
@@ -93,6 +96,9 @@
 // SetReadsByteStrings records that the peer reads strings that are not UTF-8.
 func (m *Mux) SetReadsByteStrings() { m.readsByteStrings.Store(true) }
 
+// SetKnowsWorkspaces records that the peer knows workspaces.
+func (m *Mux) SetKnowsWorkspaces() { m.knowsWorkspaces.Store(true) }
+
 // SetOnSilence sets the function that is called when the peer does not confirm a call and
 // sends nothing else. It must be set before the first call.
 func (m *Mux) SetOnSilence(f func()) { m.onSilence = f }
@@ -128,7 +134,7 @@
 	if err != nil {
 		return call.Result{Outcome: call.Rejected, Reason: call.ReasonBodyIncomplete}
 	}
-	if open.NeedsByteStrings() && !m.readsByteStrings.Load() {
+	if open.NeedsByteStrings() && !m.readsByteStrings.Load() || c.Workspace != "" && !m.knowsWorkspaces.Load() {
 		return call.Result{Outcome: call.Rejected, Reason: call.ReasonHostCannotRead}
 	}
 	o := &outgoing{result: make(chan call.Result, 1), window: newSendWindow(0), received: make(chan struct{})}
@@ -138,12 +144,9 @@
 	if isFetchable(open.More, c.BodyBytes) {
 		o.unsent.Store(c.BodyBytes)
 	}
-	kind, confirms := transport.KindCallOpen, m.confirms.Load()
-	if confirms && rest == nil && m.shouldHold(c) {
-		kind = transport.KindCallHeld
-		o.held.Store(true)
-	}
-	frame, err := transport.EncodeFrame(kind, open)
+	confirms := m.confirms.Load()
+	o.held.Store(confirms && rest == nil && m.shouldHold(c))
+	kind, frame, err := m.encodeOpen(open, o.held.Load(), c)
 	if err != nil || !m.addOutgoing(id, o) {
 		return call.Result{Outcome: call.Rejected, Reason: call.ReasonNoLink}
 	}
@@ -244,6 +247,21 @@
 	return f, rest, nil
 }
 
+// encodeOpen returns the message that starts a call. Only peers that know workspaces learn
+// the workspace and the expected length of the response.
+func (m *Mux) encodeOpen(open openFrame, held bool, c *call.Call) (transport.Kind, []byte, error) {
+	kind, body := transport.KindCallOpen, any(open)
+	switch {
+	case m.knowsWorkspaces.Load() && (c.Workspace != "" || c.ResponseBytes > 0):
+		kind = transport.KindCallOpenFor
+		body = openForFrame{Open: open, Held: held, Workspace: c.Workspace, ClassRank: c.ClassRank, ResponseBytes: c.ResponseBytes}
+	case held:
+		kind = transport.KindCallHeld
+	}
+	frame, err := transport.EncodeFrame(kind, body)
+	return kind, frame, err
+}
+
 func (m *Mux) addOutgoing(id uint64, o *outgoing) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -326,7 +344,7 @@
 // belong to calls. It does not block.
 func (m *Mux) Handle(msg transport.Message) (bool, error) {
 	switch msg.Kind {
-	case transport.KindCallOpen, transport.KindCallHeld:
+	case transport.KindCallOpen, transport.KindCallHeld, transport.KindCallOpenFor:
 		return true, m.onOpen(msg)
 	case transport.KindCallReceived:
 		return true, m.onReceived(msg)
@@ -348,13 +366,15 @@
 }
 
 func (m *Mux) onOpen(msg transport.Message) error {
-	var f openFrame
-	if err := msg.Decode(&f); err != nil {
+	received, err := decodeOpen(msg)
+	if err != nil {
 		return err
 	}
+	f := &received.Open
 	c := &call.Call{
 		ID: f.ID, Method: f.Method, URI: f.URI, Host: f.Host, Header: unflattenHeader(f.Header),
-		Caller: f.Caller, Service: f.Service, Kind: f.Kind, Rank: f.Rank, ClassRank: f.Rank, Nested: f.Nested,
+		Caller: f.Caller, Service: f.Service, Kind: f.Kind, Rank: f.Rank, Nested: f.Nested,
+		Workspace: received.Workspace, ClassRank: received.ClassRank, ResponseBytes: received.ResponseBytes,
 		Remaining: f.Remaining, TargetRemaining: f.TargetRemaining, BodyBytes: f.BodyBytes,
 	}
 	delay := m.TransitDelay(f.SentAt)
@@ -362,7 +382,7 @@
 	c.TargetRemaining -= delay
 	ctx, cancel := context.WithCancel(context.Background())
 	in := &incoming{cancel: cancel, window: newSendWindow(windowBytes), permit: permit{limiter: m.bodyLimiter}}
-	if msg.Kind == transport.KindCallHeld {
+	if received.Held {
 		in.released = make(chan struct{})
 	}
 	if f.More {
@@ -390,6 +410,20 @@
 	return nil
 }
 
+// decodeOpen decodes any of the messages that start a call.
+func decodeOpen(msg transport.Message) (openForFrame, error) {
+	var f openForFrame
+	if msg.Kind == transport.KindCallOpenFor {
+		if err := msg.Decode(&f); err != nil {
+			return f, err
+		}
+		return f, f.validate()
+	}
+	err := msg.Decode(&f.Open)
+	f.Held, f.ClassRank = msg.Kind == transport.KindCallHeld, f.Open.Rank
+	return f, err
+}
+
 // TransitDelay estimates how long a frame took to arrive, relative to the fastest
 // frame so far.
 func (m *Mux) TransitDelay(sentAt boottime.Time) boottime.Time {
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -118,7 +118,12 @@
 
 // activateDelta applies the delta of a peer and activates the plan.
 func (k *planKeeper) activateDelta(d routeplan.Delta, from mesh.HostID) {
-	plan, err := d.Apply(k.current.Load())
+	current := k.current.Load()
+	if d.MayLackWorkspaces && mayHaveWorkspaces(current) {
+		eventPlanIgnored.Log(k.logger, "source", from, "version", d.Version)
+		return
+	}
+	plan, err := d.Apply(current)
 	if err != nil {
 		// The active plan has changed since the peer was asked, or the peer runs
 		// another version of the program; the next status report leads to another try.
@@ -130,6 +135,10 @@
 	}
 }
 
+// mayHaveWorkspaces reports whether the versions after the active one, which may be nil,
+// may have workspaces. An earlier program does not know them and would send plans without.
+func mayHaveWorkspaces(active *routeplan.Plan) bool { return active == nil || active.RequiresKeys() }
+
 // maxRecentPlans is the number of versions that can be the base of a delta. More are
 // needed only while versions follow each other faster than status reports.
 const maxRecentPlans = 4
@@ -233,6 +242,9 @@
 
 // recordReport records what a peer reports about its plan.
 func (k *planKeeper) recordReport(r plansync.Report) {
+	if !r.KnowsWorkspaces && mayHaveWorkspaces(k.current.Load()) {
+		return // The host cannot send the plan; the store has it.
+	}
 	k.tracker.RecordReport(r)
 	known := k.newestReported.Load()
 	if r.Version <= max(known, k.activeVersion()) || !k.newestReported.CompareAndSwap(known, r.Version) {
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -174,7 +174,7 @@
 	if x.Route == nil {
 		return &routeFailure{http.StatusNotFound, "no_route", 0}
 	}
-	return nil
+	return x.identifyCaller(plan, request.Header)
 }
 
 // newCall returns the call for the request.
@@ -190,10 +190,17 @@
 	if !x.Nested {
 		x.Rank, classRank = x.Route.Rank, x.Route.Rank
 	}
+	if x.workspace != nil && x.workspace.HasRank {
+		x.Rank = x.workspace.Rank
+	}
 	if !x.Nested && x.ClientTimeout > 0 {
 		x.Age = s.ages.Observe(x.Route, x.ClientTimeout, x.started)
 	}
 	removeConnectionHeaders(request.Header)
+	if x.workspace != nil {
+		// Set last: a client may name the header in "Connection".
+		s.config.Keys.SetWorkspace(request.Header, x.workspace.Name)
+	}
 	return &call.Call{
 		ID: x.ID, Method: request.Method, URI: request.RequestURI, Host: request.Host, Header: request.Header,
 		Caller: s.config.LocalService(), Service: part.Service, Kind: x.Route.Kind, Rank: x.Rank, ClassRank: classRank, Workspace: x.Workspace, Nested: x.Nested,
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -140,7 +140,7 @@
 	gate := localendpoint.NewGate(ts.registration, platform.Headers{}, ts.clock, ts, buffers)
 	directory := peers.New(peers.Config{Self: peers.Record{Host: "host", Address: "127.0.0.1:1"}, Clock: ts.clock, Local: gate})
 	ts.server = ingress.New(ingress.Config{
-		Plan: &ts.plan, Headers: platform.Headers{}, Clock: ts.clock, Observer: ts, RunningCalls: gate.RunningCalls,
+		Plan: &ts.plan, Headers: platform.Headers{}, Keys: platform.Headers{}, Clock: ts.clock, Observer: ts, RunningCalls: gate.RunningCalls,
 		LocalService: func() mesh.ServiceName { return "s" },
 		Forwarder: &ingress.Forwarder{
 			Headers: platform.Headers{},
--- /dev/null
+++ b/ingress/keys.go
@@ -0,0 +1,56 @@
+package ingress
+
+import (
+	"net/http"
+	"strings"
+
+	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/localendpoint"
+	"geraniumnotch.example/geraniumnotch/routeplan"
+)
+
+// identifyCaller finds the workspace of a request if the plan has workspaces, and removes
+// the key and any name of a workspace from the headers. It returns the reason if the request
+// is rejected.
+func (x *exchange) identifyCaller(plan *routeplan.Plan, h http.Header) *routeFailure {
+	keys := x.c.server.config.Keys
+	if keys == nil || !plan.RequiresKeys() {
+		return nil
+	}
+	if hasSpacedName(h) {
+		return &routeFailure{http.StatusBadRequest, "malformed_request", 0}
+	}
+	key := keys.TakeKey(h)
+	if key != "" {
+		// Nested calls carry no key: the client has chosen an ID that looks like that of one.
+		x.Nested, x.Workspace = false, ""
+	}
+	switch {
+	case x.Route.Public || x.Nested:
+		return nil
+	case key == "" && localendpoint.IsNestedID(x.ID):
+		// Its parent may have ended, or begun before this process: no client is at fault.
+		return &routeFailure{http.StatusServiceUnavailable, call.ReasonUnknownParent, 0}
+	case key == "":
+		return &routeFailure{http.StatusUnauthorized, call.ReasonUnknownKey, 0}
+	}
+	if x.workspace = plan.WorkspaceOf(key); x.workspace == nil {
+		fingerprint := routeplan.FingerprintOf(key)
+		x.UnknownKey = &fingerprint
+		return &routeFailure{http.StatusUnauthorized, call.ReasonUnknownKey, 0}
+	}
+	x.Workspace = x.workspace.Name
+	return nil
+}
+
+// hasSpacedName reports whether a header name contains a space. net/http accepts a space
+// before the colon and does not find such a header by its name, but endpoints may: a key
+// could pass. RFC 9112, section 5.1, asks servers to reject such requests.
+func hasSpacedName(h http.Header) bool {
+	for name := range h {
+		if strings.Contains(name, " ") {
+			return true
+		}
+	}
+	return false
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -60,6 +60,9 @@
 	// parent, whose workspace it has as well.
 	Rank      uint8
 	Workspace mesh.WorkspaceName
+	// UnknownKey is the fingerprint of the key if no workspace holds it, nil if the client
+	// sent none.
+	UnknownKey *routeplan.Fingerprint
 	// ClientTimeout is the timeout that the client states, 0 when it states none.
 	ClientTimeout time.Duration
 	// Age is the estimated time since the client's first attempt.
@@ -82,8 +85,10 @@
 
 // Config configures a Server.
 type Config struct {
-	Plan      *routeplan.ActivePlan
-	Headers   call.Headers
+	Plan    *routeplan.ActivePlan
+	Headers call.Headers
+	// Keys reads the keys of clients; nil if the deployment has none.
+	Keys      call.KeyHeaders
 	Forwarder *Forwarder
 	Clock     boottime.Clock
 	Observer  Observer
--- a/localendpoint/running.go
+++ b/localendpoint/running.go
@@ -69,9 +69,25 @@
 }
 
 func (r *RunningCalls) findParent(id string) *runningCall {
+	parent, found := parentID(id)
+	if !found {
+		return nil
+	}
+	return r.calls[parent]
+}
+
+// parentID returns the ID of the call that a nested call with the given ID is made by. It
+// reports false if no nested call has such an ID.
+func parentID(id string) (parent string, found bool) {
 	i := strings.LastIndexAny(id, ".:/-_")
 	if i <= 0 {
-		return nil
+		return "", false
 	}
-	return r.calls[id[:i]]
+	return id[:i], true
+}
+
+// IsNestedID reports whether a nested call may have the ID.
+func IsNestedID(id string) bool {
+	_, found := parentID(id)
+	return found
 }
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -343,8 +343,15 @@
 		if !known {
 			return nil
 		}
+		kind, body := transport.KindPlanValue, any(plan)
+		if plan.Workspaces != nil {
+			if !d.knowsWorkspaces(state) {
+				return nil // The peer reads the store.
+			}
+			kind, body = transport.KindKeyedPlanValue, keyedPlan{Plan: plan, Workspaces: plan.Workspaces}
+		}
 		// If the queue is full, the peer asks again or reads the store.
-		if err := l.Send(transport.KindPlanValue, plan); !errors.Is(err, transport.ErrQueueFull) {
+		if err := l.Send(kind, body); !errors.Is(err, transport.ErrQueueFull) {
 			return err
 		}
 	case transport.KindPlanValue:
@@ -352,6 +359,13 @@
 		if err := m.Decode(&plan); err != nil {
 			return err
 		}
+		plan.MayLackWorkspaces = !d.knowsWorkspaces(state)
+		d.config.OnPlan(plan, l.Peer())
+	case transport.KindKeyedPlanValue:
+		plan, err := decodeKeyedPlan(m)
+		if err != nil {
+			return err
+		}
 		d.config.OnPlan(plan, l.Peer())
 	default:
 		if handle := d.config.Handlers[m.Kind]; handle != nil {
@@ -363,6 +377,12 @@
 	return nil
 }
 
+func (d *Directory) knowsWorkspaces(state *linkState) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return state.knowsWorkspaces
+}
+
 // ErrNoPeer means that a host has no link, or runs an earlier program that does not know
 // the message.
 var ErrNoPeer = errors.New("peers: host is not reachable or does not know the message")
@@ -404,6 +424,7 @@
 	}
 	if s.Protocol >= protocolWorkspaces {
 		state.knowsWorkspaces = true
+		state.mux.SetKnowsWorkspaces()
 	}
 	if s.Protocol >= protocolByteStrings {
 		state.mux.SetReadsByteStrings()
@@ -457,7 +478,7 @@
 	}
 	record := p.record.Load()
 	sameDomain := record.FailureDomain == d.config.Self.FailureDomain
-	d.config.OnPlanReport(plansync.Report{From: record.Host, SameDomain: sameDomain, Version: s.PlanVersion, Read: plansync.Read{
+	d.config.OnPlanReport(plansync.Report{From: record.Host, SameDomain: sameDomain, KnowsWorkspaces: d.links[l] != nil && d.links[l].knowsWorkspaces, Version: s.PlanVersion, Read: plansync.Read{
 		Stamp: s.PlanRead, BeganAt: readAt, Epoch: s.StoreEpoch,
 	}})
 }
--- a/peers/types.go
+++ b/peers/types.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
@@ -15,6 +16,7 @@
 	"geraniumnotch.example/geraniumnotch/plansync"
 	"geraniumnotch.example/geraniumnotch/routeplan"
 	"geraniumnotch.example/geraniumnotch/slotqueue"
+	"geraniumnotch.example/geraniumnotch/transport"
 )
 
 // Record is what is needed to reach a host. It is stored in the store.
@@ -148,6 +150,28 @@
 	CallsPerSecond float64
 }
 
+// keyedPlan is a plan with workspaces. Peers that do not know it would ignore it.
+type keyedPlan struct {
+	_          struct{} `cbor:",toarray"`
+	Plan       routeplan.Delta
+	Workspaces *routeplan.WorkspaceDelta
+}
+
+var errKeyedPlan = errors.New("peers: plan without workspaces in a message for one with them")
+
+// decodeKeyedPlan decodes a plan with workspaces.
+func decodeKeyedPlan(m transport.Message) (routeplan.Delta, error) {
+	var p keyedPlan
+	if err := m.Decode(&p); err != nil {
+		return routeplan.Delta{}, err
+	}
+	if p.Workspaces == nil {
+		return routeplan.Delta{}, errKeyedPlan
+	}
+	p.Plan.Workspaces = p.Workspaces
+	return p.Plan, nil
+}
+
 // planRequest requests the active plan as a delta to the version that the
 // requesting host has.
 type planRequest struct {
--- a/plansync/plansync.go
+++ b/plansync/plansync.go
@@ -86,7 +86,9 @@
 	From mesh.HostID
 	// SameDomain is set for peers of the host's own failure domain.
 	SameDomain bool
-	Version    uint64
+	// KnowsWorkspaces is set for peers whose plans contain the workspaces.
+	KnowsWorkspaces bool
+	Version         uint64
 	// Read is the latest read that the peer knows to have shown that version.
 	Read Read
 }
--- a/routeplan/delta.go
+++ b/routeplan/delta.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+
+	"geraniumnotch.example/geraniumnotch/mesh"
 )
 
 // ErrBaseVersion means that a delta has another base version than the plan that it
@@ -23,11 +25,28 @@
 	Put []Route
 	// Drop holds the names of the routes that the version removes.
 	Drop []string
+	// Workspaces is nil if the version has no workspaces. Hosts exchange it apart from the
+	// other fields, since earlier programs do not know it.
+	Workspaces *WorkspaceDelta `cbor:"-"`
+	// MayLackWorkspaces is set by the receiver for deltas of programs that do not know
+	// workspaces: they omit those of the version.
+	MayLackWorkspaces bool `cbor:"-"`
+}
+
+// WorkspaceDelta is the part of a delta about workspaces.
+type WorkspaceDelta struct {
+	_ struct{} `cbor:",toarray"`
+	// Put holds the workspaces that are new or differ.
+	Put []Workspace
+	// Drop holds the names of the workspaces that the version removes.
+	Drop []mesh.WorkspaceName
+	// Public holds the names of all public routes of the version.
+	Public []string
 }
 
 // Diff returns the delta from old to p, the whole plan when old is nil.
 func (p *Plan) Diff(old *Plan) Delta {
-	d := Delta{Version: p.Version, Services: p.Services, Limits: p.Limits}
+	d := Delta{Version: p.Version, Services: p.Services, Limits: p.Limits, Workspaces: p.diffWorkspaces(old)}
 	if old == nil {
 		d.Put = p.Routes
 		return d
@@ -50,6 +69,45 @@
 	return d
 }
 
+// diffWorkspaces returns the difference of the workspaces to those of old, which may be
+// nil, or nil if the plan has none.
+func (p *Plan) diffWorkspaces(old *Plan) *WorkspaceDelta {
+	if !p.RequiresKeys() {
+		return nil
+	}
+	d := &WorkspaceDelta{}
+	for i := range p.Routes {
+		if p.Routes[i].Public {
+			d.Public = append(d.Public, p.Routes[i].Name)
+		}
+	}
+	if old == nil {
+		d.Put = p.Workspaces
+		return d
+	}
+	previous := make(map[mesh.WorkspaceName]*Workspace, len(old.Workspaces))
+	for i := range old.Workspaces {
+		previous[old.Workspaces[i].Name] = &old.Workspaces[i]
+	}
+	for i := range p.Workspaces {
+		w := &p.Workspaces[i]
+		if before := previous[w.Name]; before == nil || !before.equal(w) {
+			d.Put = append(d.Put, *w)
+		}
+		delete(previous, w.Name)
+	}
+	for name := range previous {
+		d.Drop = append(d.Drop, name)
+	}
+	return d
+}
+
+func (w *Workspace) equal(o *Workspace) bool {
+	return w.Name == o.Name && w.HasRank == o.HasRank && w.Rank == o.Rank && w.CallsPerSecond == o.CallsPerSecond && w.Burst == o.Burst &&
+		slices.Equal(w.Keys, o.Keys)
+}
+
+// equal compares what Put holds; which routes are public is stated for all of them.
 func (r *Route) equal(o *Route) bool {
 	return r.Name == o.Name && r.Host == o.Host && r.Prefix == o.Prefix && r.Kind == o.Kind && r.Timeout == o.Timeout &&
 		r.LatencyTarget == o.LatencyTarget && r.Rank == o.Rank && r.MaxAttempts == o.MaxAttempts && slices.Equal(r.Split, o.Split)
@@ -79,5 +137,38 @@
 		}
 	}
 	p.Routes = append(p.Routes, d.Put...)
+	d.Workspaces.apply(p, base, d.Base != 0)
 	return p, p.Compile()
 }
+
+// apply sets the workspaces of the new version p and which of its routes are public. A nil
+// delta leaves none.
+func (d *WorkspaceDelta) apply(p, base *Plan, hasBase bool) {
+	public := map[string]bool{}
+	if d != nil {
+		for _, name := range d.Public {
+			public[name] = true
+		}
+	}
+	for i := range p.Routes {
+		p.Routes[i].Public = public[p.Routes[i].Name]
+	}
+	if d == nil {
+		return
+	}
+	if hasBase {
+		replaced := make(map[mesh.WorkspaceName]bool, len(d.Put)+len(d.Drop))
+		for i := range d.Put {
+			replaced[d.Put[i].Name] = true
+		}
+		for _, name := range d.Drop {
+			replaced[name] = true
+		}
+		for i := range base.Workspaces {
+			if !replaced[base.Workspaces[i].Name] {
+				p.Workspaces = append(p.Workspaces, base.Workspaces[i])
+			}
+		}
+	}
+	p.Workspaces = append(p.Workspaces, d.Put...)
+}
--- a/routeplan/workspace.go
+++ b/routeplan/workspace.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"math"
+	"strings"
+	"unicode"
 
 	"github.com/cockroachdb/errors"
 
@@ -57,6 +59,9 @@
 			return errors.Wrapf(ErrWorkspace, "name %q is empty or used twice", w.Name)
 		}
 		names[w.Name] = true
+		if !isHeaderValue(string(w.Name)) {
+			return errors.Wrapf(ErrWorkspace, "name %q cannot be sent in a header", w.Name)
+		}
 		if !isQuota(w.CallsPerSecond) || !isQuota(w.Burst) {
 			return errors.Wrapf(ErrWorkspace, "%s: %g calls a second, burst %g", w.Name, w.CallsPerSecond, w.Burst)
 		}
@@ -70,6 +75,12 @@
 	return nil
 }
 
+// isHeaderValue reports whether endpoints read the same text from a header (RFC 9110,
+// section 5.5).
+func isHeaderValue(s string) bool {
+	return strings.TrimSpace(s) == s && !strings.ContainsFunc(s, unicode.IsControl)
+}
+
 func isQuota(f float64) bool { return f >= 0 && !math.IsInf(f, 1) }
 
 // RequiresKeys reports whether calls on routes that are not public need a key.
