--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -47,6 +47,7 @@
 // service has endpoints on half of the hosts.
 type cluster struct {
 	dir    string
+	limits hostLimits
 	random *rand.Rand
 	store  *standin.Store
 	hosts  []*host
@@ -121,8 +122,17 @@
 	newestVersion int
 }
 
+// hostLimits are limits of the machines in the settings of the hosts.
+type hostLimits struct {
+	memoryMB, descriptors int
+}
+
 func newCluster(dir string, random *rand.Rand, hosts int) *cluster {
-	c := &cluster{dir: dir, random: random, store: standin.New(), done: make(chan struct{}), executions: map[string][]*execution{}}
+	return newLimitedCluster(dir, random, hosts, hostLimits{memoryMB: memoryMB, descriptors: maxDescriptors})
+}
+
+func newLimitedCluster(dir string, random *rand.Rand, hosts int, limits hostLimits) *cluster {
+	c := &cluster{dir: dir, limits: limits, random: random, store: standin.New(), done: make(chan struct{}), executions: map[string][]*execution{}}
 	c.store.SetFault(func(string) standin.Fault { return c.activeStoreFault() })
 	c.writeVersion()
 	for i := range hosts {
@@ -262,7 +272,8 @@
 const settingsFormat = `[host]
 name = %s
 failure-domain = d
-memory-mb = 200
+memory-mb = %d
+max-descriptors = %d
 link-mbps = 100
 [endpoint]
 service = %s
@@ -289,7 +300,7 @@
 func (h *host) start() {
 	path := filepath.Join(h.cluster.dir, h.name+".ini")
 	addresses := h.addresses
-	text := fmt.Sprintf(settingsFormat, h.name, h.service, addresses["endpoint"], addresses["calls"], addresses["peers"], addresses["advertised"], addresses["ready"], addresses["announcements"], addresses["metrics"], addresses["store"])
+	text := fmt.Sprintf(settingsFormat, h.name, h.cluster.limits.memoryMB, h.cluster.limits.descriptors, h.service, addresses["endpoint"], addresses["calls"], addresses["peers"], addresses["advertised"], addresses["ready"], addresses["announcements"], addresses["metrics"], addresses["store"])
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		panic(err)
 	}
--- a/soak/flood_test.go
+++ b/soak/flood_test.go
@@ -29,6 +29,9 @@
 	floodCallers = 8
 	// memoryMB is the memory of a host in the settings.
 	memoryMB = 200
+	// maxDescriptors is the number of files that a process of a host may open in the
+	// settings.
+	maxDescriptors = 4096
 )
 
 // flood is bytes without end: start, in which ID stands for that of the call, and then unit
