Bound what clients hold: memory of request bodies, connections

Connections are bounded by descriptors and memory; idle ones are closed first, then those whose client does nothing. The product's own node has the same account. Bodies that are fetched from other hosts count too. New log event 2590 and six metrics.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 race:
 	$(GO) test -race ./...
 	$(GO) test ./admission/simload
+	$(GO) test ./soak -count=1 -run TestHostsOutliveCrowds -soak.crowds
 
 demo:
 	$(GO) run ./cmd/geraniumnotch dev --demo
--- a/callmux/bodies.go
+++ b/callmux/bodies.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"geraniumnotch.example/geraniumnotch/heldmemory"
+
 	"geraniumnotch.example/geraniumnotch/call"
 )
 
@@ -30,8 +32,14 @@
 	// pendingBytes is the total length of the bodies that are being fetched.
 	bytesPerSecond float64
 	pendingBytes   atomic.Int64
+	// memory is what fetched bodies may hold; nil limits nothing.
+	memory *heldmemory.Account
 }
 
+// SetMemory bounds the memory of the bodies that are fetched. It must be called before the
+// first call.
+func (b *BodyLimiter) SetMemory(account *heldmemory.Account) { b.memory = account }
+
 // expectedTime returns the expected time to fetch another body of the given length.
 func (b *BodyLimiter) expectedTime(bytes int64) time.Duration {
 	if b.bytesPerSecond == 0 {
@@ -133,6 +141,13 @@
 	stop := context.AfterFunc(ctx, func() { b.in.body.closeWithError(ErrBodyIncomplete) })
 	defer stop()
 	b.ended = ctx.Done()
+	if account := b.in.permit.limiter.memory; account != nil {
+		// The body is whole at the other host, so that it does not depend on a client.
+		b.in.held = account.NewHolder(nil)
+		if !b.in.held.Grow(ctx, b.bytes) {
+			return nil, heldmemory.ErrNoMemory
+		}
+	}
 	whole := make([]byte, b.bytes)
 	if _, err := io.ReadFull(b, whole); err != nil {
 		return nil, errors.Wrap(err, "callmux: fetch body")
--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -12,6 +12,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
 
@@ -74,6 +75,8 @@
 	body   *pipe
 	window *sendWindow
 	permit permit
+	// held is the memory of a fetched body, nil before it is fetched. Only serve uses it.
+	held *heldmemory.Holder
 	// released is closed when a held call may be executed; nil for other calls.
 	released    chan struct{}
 	releaseOnce sync.Once
@@ -404,7 +407,12 @@
 
 // serve executes a call of the peer and sends its result.
 func (m *Mux) serve(ctx context.Context, stream uint64, in *incoming, c *call.Call) {
-	defer m.removeIncoming(stream, in)
+	defer func() {
+		m.removeIncoming(stream, in)
+		if in.held != nil {
+			in.held.Close()
+		}
+	}()
 	if !in.awaitRelease(ctx, c) {
 		return
 	}
--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -37,6 +37,8 @@
 	eventDeparturesLearned = events.Define(2526, hclog.Info, "departures of endpoints learned", "None; an earlier process of the host acknowledged them. Late announcements of these endpoints are ignored.")
 	eventDepartureNotSaved = events.Define(2527, hclog.Warn, "departure acknowledged before the store has it", "Check the store. The node writes it again; until then only other hosts tell it to the next process of this host.")
 
+	eventClientLimits = events.Define(2590, hclog.Warn, "clients met the limits on memory or connections", "Find out who sends unfinished requests. Bodies without progress give way, further ones are refused; ordinary clients that meet the limits need more memory-mb or max-descriptors.")
+
 	eventCallFinished  = events.Define(2530, hclog.Info, "call finished", "None.")
 	eventCallFailed    = events.Define(2531, hclog.Warn, "call failed", "The reason, the host of the last attempt and the gate's log line with the same ID lead to the cause; see docs/OPERATIONS.md.")
 	eventAttemptFailed = events.Define(2532, hclog.Warn, "attempt at the local endpoint failed", "The load, the slots and the time in the queue explain a rejection; broken attempts point to the endpoint.")
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -19,6 +19,7 @@
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
 	"geraniumnotch.example/geraniumnotch/departures"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/ingress"
 	"geraniumnotch.example/geraniumnotch/internal/sockpoll"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
@@ -78,6 +79,7 @@
 	forwarder    *ingress.Forwarder
 	ingress      *ingress.Server
 	metrics      *metrics.Registry
+	bodyMemory   *heldmemory.Account
 
 	stopping      atomic.Bool
 	hostsListedAt atomic.Int64
@@ -139,9 +141,10 @@
 	n.registration.AwaitDepartures()
 	buffers := call.NewBuffers(int64(s.ResponseBufferMB) << 20)
 	gate := localendpoint.NewGate(n.registration, platform.Headers{}, clock, observer, buffers)
+	n.bodyMemory = heldmemory.NewAccount(s.bodyMemory(), clock)
 	record := peers.Record{Host: s.Host, Address: s.Listen.PeersAdvertised, FailureDomain: s.FailureDomain, Incarnation: n.started.UnixNano(), LinkMbps: s.LinkMbps}
 	n.directory = peers.New(peers.Config{
-		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate,
+		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate, BodyMemory: n.bodyMemory,
 		LocalStatus: n.statusReport, PlanDelta: n.planKeeper.deltaFrom, OnPlan: n.planKeeper.activateDelta,
 		OnPlanReport: n.planKeeper.recordReport,
 		OnLimitedEndpoint: func(e peers.LimitedEndpoint) {
@@ -167,8 +170,9 @@
 		Plan: &n.plan, Headers: platform.Headers{}, Clock: clock, Observer: observer, Forwarder: n.forwarder,
 		LocalService: func() mesh.ServiceName { return n.settings.Load().Endpoint.Service },
 		RunningCalls: gate.RunningCalls,
+		Memory:       n.bodyMemory, MaxConnections: s.maxConnections(),
 	})
-	return n, nil
+	return n, observeClientLimits(registry.Meter(), n.bodyMemory.Usage, n.ingress.ConnectionUsage)
 }
 
 // endpointChanged reports the endpoint of this host to its peers. The endpoint is nil
@@ -272,6 +276,7 @@
 	time.AfterFunc(maxPeerWait, n.applyDeferred)
 	go boottime.WatchSuspensions(ctx, n.clock, n.onSuspended)
 	go n.watchSettings(ctx)
+	go n.watchClientLimits(ctx, n.bodyMemory.Usage, n.ingress.ConnectionUsage)
 	eventStarted.Log(n.logger, "host", s.Host, "failure_domain", s.FailureDomain, "service", s.Endpoint.Service, "endpoint_address", s.Endpoint.Address)
 	return nil
 }
--- a/hostnode/observe.go
+++ b/hostnode/observe.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/ingress"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
 	"geraniumnotch.example/geraniumnotch/transport"
@@ -61,6 +62,28 @@
 	return o, errors.Join(errs[:]...)
 }
 
+// observeClientLimits registers the metrics of what clients hold.
+func observeClientLimits(meter metric.Meter, memory func() heldmemory.Usage, connections func() ingress.ConnectionUsage) error {
+	gauge := func(name, text string, value func() int64) error {
+		_, err := meter.Int64ObservableGauge(name, metric.WithDescription(text), metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(value())
+			return nil
+		}))
+		return err
+	}
+	_, gaveWay := meter.Int64ObservableCounter("host_bodies_gave_way", metric.WithDescription("request bodies without progress that were given up for others"),
+		counterCallback(func() int64 { return memory().GaveWay }))
+	_, refused := meter.Int64ObservableCounter("host_bodies_refused", metric.WithDescription("request bodies for which there was no memory"),
+		counterCallback(func() int64 { return memory().Refused }))
+	_, evicted := meter.Int64ObservableCounter("host_connections_evicted", metric.WithDescription("connections of clients that were closed for new ones"),
+		counterCallback(func() int64 { return connections().Evicted }))
+	_, closed := meter.Int64ObservableCounter("host_connections_refused", metric.WithDescription("connections of clients beyond the limit, closed without a response"),
+		counterCallback(func() int64 { return connections().Refused }))
+	return errors.Join(gaveWay, refused, evicted, closed,
+		gauge("host_body_bytes", "memory that request bodies hold", func() int64 { return memory().Used }),
+		gauge("host_connections", "open connections of clients", func() int64 { return int64(connections().Open) }))
+}
+
 // observeLinks registers the counter of the bytes on the links to other hosts.
 func observeLinks(meter metric.Meter, local, remote func() map[transport.Kind]transport.KindTraffic) error {
 	_, err := meter.Int64ObservableCounter("host_link_bytes", metric.WithDescription("bytes on links to other hosts by domain, direction and kind of message"),
--- a/hostnode/settings.go
+++ b/hostnode/settings.go
@@ -20,6 +20,8 @@
 	FailureDomain mesh.FailureDomain
 	Endpoint      localendpoint.Identity
 	MemoryMB      int
+	// Descriptors is the number of files that the process may open.
+	Descriptors int
 	// LinkMbps is the bandwidth of the host's link in Mbit/s.
 	LinkMbps     float64
 	Listen       Listen
@@ -54,6 +56,9 @@
 // defaultStoreWritesPerSecond applies where the settings state no rate.
 const defaultStoreWritesPerSecond = 400
 
+// defaultDescriptors applies where the settings state no number of open files.
+const defaultDescriptors = 4096
+
 // defaultResponseBufferMB holds about 40 responses of 100 KB.
 const defaultResponseBufferMB = 4
 
@@ -102,6 +107,10 @@
 	if p.values["store.writes-per-s"].Text != "" {
 		s.StoreWritesPerSecond = p.positive("store", "writes-per-s")
 	}
+	s.Descriptors = defaultDescriptors
+	if p.values["host.max-descriptors"].Text != "" {
+		s.Descriptors = p.number("host", "max-descriptors", 64, 1<<20)
+	}
 	s.ResponseBufferMB, s.RemoteCostPerKB = defaultResponseBufferMB, defaultRemoteCostPerKB
 	if p.values["limits.response-buffer-mb"].Text != "" {
 		s.ResponseBufferMB = p.number("limits", "response-buffer-mb", 0, 1<<14)
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 )
 
 // receiveBody buffers a short body; a long one is forwarded as it arrives.
@@ -25,7 +26,11 @@
 		request.Header.Del("Expect")
 		_, _ = io.WriteString(x.c.conn, "HTTP/1.1 100 Continue\r\n\r\n") // The next read returns the error.
 	}
-	body, err := io.ReadAll(io.LimitReader(request.Body, maxBufferedBodyBytes+1))
+	x.held = x.c.server.config.Memory.NewHolder(func() {
+		_ = x.c.conn.SetReadDeadline(time.Now()) // The read in progress returns the error.
+	})
+	reader := &heldmemory.Reader{Holder: x.held, Source: clientReader{c: x.c, source: request.Body}}
+	body, err := reader.ReadUpTo(x.c.ctx, request.ContentLength, maxBufferedBodyBytes+1)
 	switch {
 	case err != nil:
 		return x.rejectBody(err)
@@ -34,7 +39,7 @@
 		x.writeFailure(http.StatusRequestEntityTooLarge, "body_too_long", 0)
 		return false
 	case len(body) > maxBufferedBodyBytes:
-		return x.streamBody(cl, body, request.Body, maxBytes)
+		return x.streamBody(cl, body, reader, maxBytes)
 	}
 	cl.BodyBytes, cl.Body = int64(len(body)), call.BytesBody(body)
 	_ = x.c.conn.SetReadDeadline(time.Time{}) // The next read returns the error.
@@ -42,6 +47,23 @@
 	return true
 }
 
+// noMemoryRetryAfter is the retry-after where bodies hold all memory. By then those without
+// progress have given way.
+const noMemoryRetryAfter = heldmemory.StallTime
+
+// clientReader reads a body from the client of a connection.
+type clientReader struct {
+	c      *connection
+	source io.Reader
+}
+
+// Read returns the next bytes.
+func (r clientReader) Read(p []byte) (int, error) {
+	r.c.setWaiting(waitsForBody)
+	defer r.c.setWaiting(waitsForNothing)
+	return r.source.Read(p)
+}
+
 // rejectBody responds to a request whose body did not arrive. The call was not
 // forwarded.
 func (x *exchange) rejectBody(err error) bool {
@@ -51,17 +73,20 @@
 		return false
 	}
 	f := newBodyFailure(err)
-	x.writeFailure(f.status, f.reason, 0)
+	x.writeFailure(f.status, f.reason, f.retryAfter)
 	return false
 }
 
 // newBodyFailure returns the failure for a body of which no endpoint received a part.
 func newBodyFailure(err error) *bodyFailure {
 	var timeout interface{ Timeout() bool }
-	if errors.As(err, &timeout) && timeout.Timeout() {
-		return &bodyFailure{http.StatusRequestTimeout, "body_too_slow"}
+	switch {
+	case errors.Is(err, heldmemory.ErrNoMemory):
+		return &bodyFailure{http.StatusServiceUnavailable, "no_memory_for_body", noMemoryRetryAfter}
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return &bodyFailure{http.StatusRequestTimeout, "body_too_slow", 0}
 	}
-	return &bodyFailure{http.StatusBadRequest, "malformed_body"}
+	return &bodyFailure{http.StatusBadRequest, "malformed_body", 0}
 }
 
 // streamBody forwards a long body while it arrives.
@@ -98,8 +123,9 @@
 
 // bodyFailure is the response to a request whose body failed while it was forwarded.
 type bodyFailure struct {
-	status int
-	reason string
+	status     int
+	reason     string
+	retryAfter time.Duration
 }
 
 var errBodyTooLong = errors.New("ingress: request body too long")
@@ -113,7 +139,7 @@
 	}
 	n, err := b.rest.Read(p)
 	if b.remaining -= int64(n); b.remaining < 0 {
-		b.failure.Store(&bodyFailure{http.StatusRequestEntityTooLarge, "body_too_long"})
+		b.failure.Store(&bodyFailure{http.StatusRequestEntityTooLarge, "body_too_long", 0})
 		b.cancel()
 		return 0, errBodyTooLong
 	}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -12,6 +12,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/routeplan"
 )
 
@@ -31,6 +32,8 @@
 	workspace *routeplan.Workspace
 	// streamed is the request body if it is forwarded while it arrives, else nil.
 	streamed *streamedBody
+	// held is the memory of the request body, nil before the body is read.
+	held *heldmemory.Holder
 }
 
 func isDisconnect(err error) bool {
@@ -81,6 +84,9 @@
 func (x *exchange) finish() {
 	c := x.c
 	x.Duration = c.server.config.Clock() - x.started
+	if x.held != nil {
+		x.held.Close()
+	}
 	c.server.config.Observer.Finished(&x.Exchange)
 	c.server.active.Add(-1)
 	c.mu.Lock()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -18,6 +19,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/internal/readlimit"
 	"geraniumnotch.example/geraniumnotch/internal/sockpoll"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
@@ -93,6 +95,10 @@
 	RunningCalls *localendpoint.RunningCalls
 	// Quotas limits the calls of workspaces; nil limits nothing.
 	Quotas Quotas
+	// Memory is what request bodies may hold; nil limits nothing.
+	Memory *heldmemory.Account
+	// MaxConnections bounds the open connections; 0 limits nothing.
+	MaxConnections int
 }
 
 // Server serves the connections of clients.
@@ -110,10 +116,15 @@
 	conns                     map[*connection]struct{}
 	// aborted is set when the calls of all connections are rejected.
 	aborted bool
+
+	evictions, refusedConnections atomic.Int64
 }
 
 // New returns a server that serves no listener yet.
 func New(config Config) *Server {
+	if config.Memory == nil {
+		config.Memory = heldmemory.NewAccount(math.MaxInt64, config.Clock)
+	}
 	return &Server{config: config, conns: map[*connection]struct{}{}}
 }
 
@@ -130,7 +141,9 @@
 			return errors.Wrap(err, "ingress: accept")
 		}
 		// The connection is registered before its first read, so that CloseIdle sees it.
-		go s.serveConnection(s.addConnection(c))
+		if accepted := s.addConnection(c); accepted != nil {
+			go s.serveConnection(accepted)
+		}
 	}
 }
 
@@ -212,6 +225,13 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 
+	// waitMu guards what the connection waits for. It is a leaf lock: the server reads it
+	// for all connections while it holds its own.
+	waitMu       sync.Mutex
+	waiting      waitKind
+	waitingSince boottime.Time
+	evicted      bool
+
 	mu sync.Mutex
 	// pending counts the requests without a complete response.
 	pending int
@@ -239,7 +259,7 @@
 	stateClosed
 )
 
-// addConnection registers an accepted connection.
+// addConnection registers an accepted connection, or closes it and returns nil.
 func (s *Server) addConnection(raw net.Conn) *connection {
 	c := &connection{server: s, conn: raw, limited: readlimit.NewConn(raw), lastDone: make(chan struct{})}
 	c.r = bufio.NewReaderSize(c.limited, readBufferBytes)
@@ -247,6 +267,10 @@
 	close(c.lastDone)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.makeRoom() {
+		refuseConnection(raw)
+		return nil
+	}
 	s.conns[c] = struct{}{}
 	if s.aborted {
 		c.cancel(call.ErrNodeStopping)
@@ -315,6 +339,7 @@
 		c.limited.SetLimit(limits.HeaderBytes)
 		_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // The next read returns the error.
 		request, err := http.ReadRequest(c.r)
+		c.setWaiting(waitsForNothing)
 		c.limited.RemoveLimit()
 		if err != nil {
 			c.rejectHead(err)
@@ -336,6 +361,7 @@
 	}
 	if c.r.Buffered() > 0 {
 		c.state = stateReading
+		c.setWaiting(waitsForHead)
 		return true
 	}
 	if c.state != stateClosing {
@@ -350,6 +376,7 @@
 func (c *connection) setIdleDeadline() {
 	deadline := time.Time{}
 	if c.pending == 0 {
+		c.setWaiting(waitsForRequest)
 		deadline = time.Now().Add(c.limits().IdleTimeout)
 	}
 	_ = c.conn.SetReadDeadline(deadline) // The next read returns the error.
@@ -391,6 +418,7 @@
 		return false
 	}
 	c.state = stateReading
+	c.setWaiting(waitsForHead)
 	return true
 }
 
--- a/node/callpath.go
+++ b/node/callpath.go
@@ -195,9 +195,9 @@
 	if err := p.base.Provision(injector); err != nil {
 		return err
 	}
-	p.running = proxy.NewRunningCalls()
+	p.running, p.bodyMemory = proxy.NewRunningCalls(), proxy.NewBodyMemory()
 	p.gate = proxy.NewGate(proxy.GateConfig{
-		Endpoints: p.endpoints, Running: p.running, IsTrusted: p.isPeer, Logger: p.logger.Named("gate"),
+		Endpoints: p.endpoints, Running: p.running, Memory: p.bodyMemory, IsTrusted: p.isPeer, Logger: p.logger.Named("gate"),
 	})
 	p.server = newServer(p.components, "call", p.listeners.call, p.gate)
 	return nil
@@ -241,7 +241,7 @@
 		MaxEjectedShare: p.settings.Selection.MaxEjectedShare, Logger: p.logger.Named("selection"), Meter: p.metrics.Meter(),
 	})
 	p.entry = proxy.NewEntry(proxy.EntryConfig{
-		Snapshot: &p.current, Selector: p.selector, Admission: p.admission, Claims: p.claims, Running: p.running,
+		Snapshot: &p.current, Selector: p.selector, Admission: p.admission, Claims: p.claims, Running: p.running, Memory: p.bodyMemory,
 		Decisions: p.decisions, Dial: p.options.DialCall, Retry: p.options.Retry, RetryRatio: p.settings.Retry.BudgetShare,
 		Logger: p.logger.Named("entry"), Meter: p.metrics.Meter(),
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"geraniumnotch.example/geraniumnotch/distribution"
 	"geraniumnotch.example/geraniumnotch/endpoints"
 	"geraniumnotch.example/geraniumnotch/gate"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/kernel"
 	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
@@ -92,10 +93,12 @@
 	selector  *selection.Selector
 	decisions *proxy.DecisionLog
 	running   *proxy.RunningCalls
-	gate      *proxy.Gate
-	entry     *proxy.Entry
-	claims    proxy.Claims
-	drain     func()
+	// bodyMemory is what the request bodies at the entry and the gate may hold.
+	bodyMemory *heldmemory.Account
+	gate       *proxy.Gate
+	entry      *proxy.Entry
+	claims     proxy.Claims
+	drain      func()
 	// stopRequested is closed by requestStop.
 	stopRequested chan struct{}
 	requestStop   func()
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -15,6 +15,7 @@
 	"geraniumnotch.example/geraniumnotch/callmux"
 	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/events"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/plansync"
 	"geraniumnotch.example/geraniumnotch/routeplan"
@@ -71,6 +72,9 @@
 	Dial transport.DialFunc
 	// Local executes the calls of peers at the endpoint of this host.
 	Local call.Runner
+	// BodyMemory is what request bodies that are fetched from peers may hold; nil limits
+	// nothing.
+	BodyMemory *heldmemory.Account
 	// LocalStatus returns this host's status without its record.
 	LocalStatus func() Status
 	// PlanDelta returns the active plan as a delta to the version that a peer has. It
@@ -161,6 +165,7 @@
 // New returns a directory that knows only this host.
 func New(config Config) *Directory {
 	d := &Directory{config: config, bodyLimiter: callmux.NewBodyLimiter(config.Self.LinkMbps), peers: map[mesh.HostID]*Peer{}, links: map[*transport.Link]*linkState{}, sendNow: make(chan struct{}, 1)}
+	d.bodyLimiter.SetMemory(config.BodyMemory)
 	d.byService.Store(&map[mesh.ServiceName][]*Peer{})
 	d.hostCount.Store(1)
 	d.manager = transport.NewManager(transport.Config{
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -5,8 +5,11 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 )
 
 // errDetached is returned to a transport that reads a body after its attempt
@@ -21,12 +24,34 @@
 	stream   io.ReadCloser
 	// trailer is filled in by the HTTP server once it has read the whole stream.
 	trailer http.Header
+	// held is the memory of buffered, nil where nothing is buffered.
+	held *heldmemory.Holder
+}
+
+// release returns the memory of the body.
+func (b *requestBody) release() {
+	if b != nil && b.held != nil {
+		b.held.Close()
+	}
+}
+
+// readHeld reads a body of up to most bytes into memory of the account. A body without
+// progress gives way to others by a read timeout.
+func readHeld(w http.ResponseWriter, r *http.Request, account *heldmemory.Account, most int64) ([]byte, *heldmemory.Holder, error) {
+	held := account.NewHolder(func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+	reader := heldmemory.Reader{Holder: held, Source: r.Body}
+	content, err := reader.ReadUpTo(r.Context(), r.ContentLength, most)
+	if err != nil {
+		held.Close()
+		return nil, nil, errors.Wrap(err, "proxy: read request body")
+	}
+	return content, held, nil
 }
 
 // newRequestBody returns the body of r. A body with a Content-Length of at most
 // limit is read into memory, so that it can be sent more than once; any other is
 // streamed.
-func newRequestBody(r *http.Request, limit int64) (*requestBody, error) {
+func newRequestBody(w http.ResponseWriter, r *http.Request, account *heldmemory.Account, limit int64) (*requestBody, error) {
 	b := &requestBody{length: r.ContentLength, trailer: r.Trailer}
 	if r.ContentLength == 0 {
 		return b, nil
@@ -35,30 +60,29 @@
 		b.stream = r.Body
 		return b, nil
 	}
-	b.buffered = make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, b.buffered); err != nil {
-		return nil, errors.Wrap(err, "proxy: read request body")
-	}
-	return b, nil
+	var err error
+	b.buffered, b.held, err = readHeld(w, r, account, limit)
+	return b, err
 }
 
 // bufferRequestBody reads the whole body of r into memory. It returns errTooLarge
 // if the body is longer than limit.
-func bufferRequestBody(r *http.Request, limit int64) (*requestBody, error) {
+func bufferRequestBody(w http.ResponseWriter, r *http.Request, account *heldmemory.Account, limit int64) (*requestBody, error) {
 	if r.ContentLength >= 0 && r.ContentLength <= limit {
-		return newRequestBody(r, limit)
+		return newRequestBody(w, r, account, limit)
 	}
 	if r.ContentLength > limit {
 		return nil, errTooLarge
 	}
-	content, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	content, held, err := readHeld(w, r, account, limit+1)
 	if err != nil {
-		return nil, errors.Wrap(err, "proxy: read request body")
+		return nil, err
 	}
 	if int64(len(content)) > limit {
+		held.Close()
 		return nil, errTooLarge
 	}
-	return &requestBody{length: int64(len(content)), buffered: content}, nil
+	return &requestBody{length: int64(len(content)), buffered: content, held: held}, nil
 }
 
 // errTooLarge is returned for the body of a keyed call above the limit.
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"geraniumnotch.example/geraniumnotch/admission"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/routing"
@@ -193,9 +194,9 @@
 		_ = http.NewResponseController(c.w).SetReadDeadline(c.deadline.Add(bodyReadGrace))
 	}
 	if c.route.Keyed {
-		c.body, err = bufferRequestBody(c.r, MaxKeyedBodyBytes)
+		c.body, err = bufferRequestBody(c.w, c.r, c.entry.cfg.Memory, MaxKeyedBodyBytes)
 	} else {
-		c.body, err = newRequestBody(c.r, c.entry.cfg.MaxBufferedBodyBytes)
+		c.body, err = newRequestBody(c.w, c.r, c.entry.cfg.Memory, c.entry.cfg.MaxBufferedBodyBytes)
 	}
 	switch {
 	case err == nil:
@@ -205,6 +206,10 @@
 		f := notExecuted(mesh.ReasonMalformed, "the body of a keyed call is at most 1 MB")
 		f.status = http.StatusRequestEntityTooLarge
 		return f
+	case errors.Is(err, heldmemory.ErrNoMemory):
+		f := notExecuted(mesh.ReasonOverload, "the node has no memory for the request body")
+		f.retryAfter = heldmemory.StallTime
+		return f
 	}
 	return notExecuted(mesh.ReasonCancelled, "the request body ended early")
 }
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"geraniumnotch.example/geraniumnotch/admission"
+	"geraniumnotch.example/geraniumnotch/boottime"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/retry"
 	"geraniumnotch.example/geraniumnotch/routing"
@@ -26,8 +28,16 @@
 	DefaultMaxBufferedBodyBytes = 64 << 10
 	// MaxKeyedBodyBytes is the largest body of a keyed call.
 	MaxKeyedBodyBytes = 1 << 20
+	// DefaultBodyMemoryBytes is what the request bodies of a node may hold together: 64 of
+	// the longest, or 1,024 of those that can be retried.
+	DefaultBodyMemoryBytes = 64 << 20
 )
 
+// NewBodyMemory returns the account for the request bodies of a node.
+func NewBodyMemory() *heldmemory.Account {
+	return heldmemory.NewAccount(DefaultBodyMemoryBytes, boottime.Now)
+}
+
 // EntryConfig configures an Entry. Snapshot, Selector and Admission are
 // required.
 type EntryConfig struct {
@@ -47,6 +57,9 @@
 	RetryRatio float64
 	// MaxBufferedBodyBytes replaces DefaultMaxBufferedBodyBytes when it is not zero.
 	MaxBufferedBodyBytes int64
+	// Memory is what request bodies may hold, shared with the Gate of the same node; nil
+	// means an account of DefaultBodyMemoryBytes.
+	Memory *heldmemory.Account
 	// Dial replaces the dialer of connections to gates, for fault injection.
 	Dial   DialFunc
 	Now    func() time.Time
@@ -76,6 +89,9 @@
 	if cfg.Running == nil {
 		cfg.Running = NewRunningCalls()
 	}
+	if cfg.Memory == nil {
+		cfg.Memory = NewBodyMemory()
+	}
 	if cfg.MaxBufferedBodyBytes == 0 {
 		cfg.MaxBufferedBodyBytes = DefaultMaxBufferedBodyBytes
 	}
@@ -154,6 +170,7 @@
 // finish releases the resources of the call and records its decision. It also runs
 // if the response had to be aborted.
 func (c *call) finish() {
+	c.body.release()
 	if c.parent != nil {
 		c.parent.nestedInFlight.Add(-1)
 	}
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -11,6 +11,7 @@
 
 	"geraniumnotch.example/geraniumnotch/endpoints"
 	"geraniumnotch.example/geraniumnotch/gate"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/mesh"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,9 @@
 	IsTrusted func(netip.Addr) bool
 	Now       func() time.Time
 	Logger    hclog.Logger
+	// Memory is what request bodies may hold, shared with the Entry of the same node; nil
+	// means an account of DefaultBodyMemoryBytes.
+	Memory *heldmemory.Account
 }
 
 // Gate serves the call address of a host: it accepts calls from nodes, waits for
@@ -50,6 +54,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Memory == nil {
+		cfg.Memory = NewBodyMemory()
+	}
 	if cfg.Running == nil {
 		cfg.Running = NewRunningCalls()
 	}
@@ -103,6 +110,11 @@
 		return
 	}
 	body, err := g.readBody(w, r, in)
+	defer body.release()
+	if errors.Is(err, heldmemory.ErrNoMemory) {
+		notExecuted(mesh.ReasonOverload, "the node has no memory for the request body").writeProblem(w, in.call)
+		return
+	}
 	if err != nil {
 		notExecuted(mesh.ReasonCancelled, "the request body ended early").writeProblem(w, in.call)
 		return
@@ -132,9 +144,9 @@
 		_ = http.NewResponseController(w).SetReadDeadline(in.deadline.Add(bodyReadGrace))
 	}
 	if r.Header.Get("Expect") != "" {
-		return newRequestBody(r, -1)
+		return newRequestBody(w, r, g.cfg.Memory, -1)
 	}
-	return newRequestBody(r, MaxKeyedBodyBytes)
+	return newRequestBody(w, r, g.cfg.Memory, MaxKeyedBodyBytes)
 }
 
 func (g *Gate) findEndpoint(in incomingCall) (*endpoints.Endpoint, *callFailure) {
