Quotas of workspaces over all hosts

The admission package allows up to twice the limit while demands move. Change: package quota. Each workspace has one owner by rendezvous hashing among the hosts that reach each other. Hosts ask the owner for tokens, which expire within half of the overage; the owner fills its bucket by the part of the known hosts that regard it as the owner by the views that they report, and starts with an empty one. Settings quota-window-s, quota-overage, quota-slack; without them, or without a workspace with a rate, nothing is sent. RendezvousWeight moves from claims to membership; its results are the same. The review harness leaves out sections of the settings template.

--- a/claims/owner.go
+++ b/claims/owner.go
@@ -67,7 +67,7 @@
 		}
 		hash := xxhash.Sum64String(string(id))
 		for shard := range ShardID(ShardCount) {
-			weight := ownerWeight(shard, hash)
+			weight := membership.RendezvousWeight(uint64(shard), hash)
 			table.global.consider(shard, id, weight)
 			if record.Domain == o.domain {
 				table.local.consider(shard, id, weight)
@@ -85,14 +85,3 @@
 		c.hosts[shard], c.weights[shard] = host, weight
 	}
 }
-
-// ownerWeight mixes the hash of a host with the shard, using the finalizer of
-// SplitMix64. That is cheaper than hashing both: a view of 750 hosts needs 48,000
-// weights.
-func ownerWeight(shard ShardID, hash uint64) uint64 {
-	const increment, factor1, factor2 = 0x9e3779b97f4a7c15, 0xbf58476d1ce4e5b9, 0x94d049bb133111eb
-	x := hash + increment*(uint64(shard)+1)
-	x = (x ^ x>>30) * factor1
-	x = (x ^ x>>27) * factor2
-	return x ^ x>>31
-}
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -27,6 +28,7 @@
 	"geraniumnotch.example/geraniumnotch/peers"
 	"geraniumnotch.example/geraniumnotch/plansync"
 	"geraniumnotch.example/geraniumnotch/platform"
+	"geraniumnotch.example/geraniumnotch/quota"
 	"geraniumnotch.example/geraniumnotch/responsesize"
 	"geraniumnotch.example/geraniumnotch/retrybudget"
 	"geraniumnotch.example/geraniumnotch/routeplan"
@@ -78,6 +80,8 @@
 	forwarder    *ingress.Forwarder
 	ingress      *ingress.Server
 	metrics      *metrics.Registry
+	// quotas is nil if the settings state no bound on quotas.
+	quotas *quota.Service
 
 	stopping      atomic.Bool
 	hostsListedAt atomic.Int64
@@ -129,7 +133,7 @@
 		rank:             func() (all, domain int) { return n.directory.Rank() },
 		askPeer:          func(host mesh.HostID, have uint64) error { return n.directory.RequestPlan(host, have) },
 		peersHeard:       func() bool { return n.peersHeard() },
-		onActivated:      func(p *routeplan.Plan) { n.ingress.PlanChanged(p) },
+		onActivated:      n.planActivated,
 		onConfirmed:      func() { n.directory.ReportNow() },
 		onStoreRecovered: func() { n.registrar.signalStoreRecovered() },
 		monitor:          storeMonitor{logger: logger, use: "plan"},
@@ -140,8 +144,14 @@
 	buffers := call.NewBuffers(int64(s.ResponseBufferMB) << 20)
 	gate := localendpoint.NewGate(n.registration, platform.Headers{}, clock, observer, buffers)
 	record := peers.Record{Host: s.Host, Address: s.Listen.PeersAdvertised, FailureDomain: s.FailureDomain, Incarnation: n.started.UnixNano(), LinkMbps: s.LinkMbps}
+	n.quotas = newQuotas(s, n.started.UnixNano(), logger, clock, func() bool { return n.registrar.listed.Load() }, func() *peers.Directory { return n.directory })
+	handlers := map[transport.Kind]func(mesh.HostID, transport.Message) error{}
+	if n.quotas != nil {
+		maps.Copy(handlers, n.quotas.Handlers())
+	}
 	n.directory = peers.New(peers.Config{
-		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate,
+		Handlers: handlers,
+		Self:     record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate,
 		LocalStatus: n.statusReport, PlanDelta: n.planKeeper.deltaFrom, OnPlan: n.planKeeper.activateDelta,
 		OnPlanReport: n.planKeeper.recordReport,
 		OnLimitedEndpoint: func(e peers.LimitedEndpoint) {
@@ -149,6 +159,11 @@
 		},
 		OnReceiverDeparted: func(known departures.List, from mesh.HostID) { n.learnDepartures(known, string(from)) },
 	})
+	if n.quotas != nil {
+		if err := observeQuotas(registry.Meter(), n.quotas.Stats); err != nil {
+			return nil, err
+		}
+	}
 	if err := observeLinks(registry.Meter(), n.directory.LocalTraffic, n.directory.RemoteTraffic); err != nil {
 		return nil, err
 	}
@@ -163,14 +178,26 @@
 		Sizes:       responsesize.New(), Buffers: buffers, RemoteByteCost: s.RemoteCostPerKB / 1024,
 		OnHedge: observer.hedged,
 	}
-	n.ingress = ingress.New(ingress.Config{
+	config := ingress.Config{
 		Plan: &n.plan, Headers: platform.Headers{}, Clock: clock, Observer: observer, Forwarder: n.forwarder,
 		LocalService: func() mesh.ServiceName { return n.settings.Load().Endpoint.Service },
 		RunningCalls: gate.RunningCalls,
-	})
+	}
+	if n.quotas != nil {
+		config.Quotas = ingressQuotas{n.quotas}
+	}
+	n.ingress = ingress.New(config)
 	return n, nil
 }
 
+// planActivated applies a new plan to the parts that depend on it.
+func (n *Node) planActivated(p *routeplan.Plan) {
+	n.ingress.PlanChanged(p)
+	if n.quotas != nil {
+		n.quotas.SetPlan(p)
+	}
+}
+
 // endpointChanged reports the endpoint of this host to its peers. The endpoint is nil
 // when there is none.
 func (n *Node) endpointChanged(e *localendpoint.Endpoint) {
@@ -264,6 +291,9 @@
 		_ = n.ingress.Serve(calls) // Ends when the listener is closed.
 	}()
 	go n.planKeeper.run(ctx)
+	if n.quotas != nil {
+		go n.quotas.Run(ctx)
+	}
 	go n.registrar.run(ctx)
 	go func() {
 		defer close(n.linksClosed)
--- a/hostnode/settings.go
+++ b/hostnode/settings.go
@@ -11,6 +11,7 @@
 	"geraniumnotch.example/geraniumnotch/inifile"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
 	"geraniumnotch.example/geraniumnotch/mesh"
+	"geraniumnotch.example/geraniumnotch/quota"
 	"geraniumnotch.example/geraniumnotch/retrybudget"
 )
 
@@ -31,6 +32,8 @@
 	// PlanDeadline is the time within which a new plan must be active.
 	PlanDeadline time.Duration
 	RetryBudget  retrybudget.Bound
+	// Quota is the bound on the calls of workspaces, zero if quotas are not enforced.
+	Quota quota.Bound
 	// ResponseBufferMB is the size of the buffers for long responses in MiB.
 	ResponseBufferMB int
 	// RemoteCostPerKB is the cost of 1 KiB between failure domains, as a fraction of the
@@ -109,6 +112,7 @@
 	if p.values["placement.remote-cost-per-kb"].Text != "" {
 		s.RemoteCostPerKB = p.fraction("placement", "remote-cost-per-kb")
 	}
+	s.Quota = p.quotaBound()
 	s.Listen.PeersAdvertised = s.Listen.Peers
 	if p.values["listen.peers-advertised"].Text != "" {
 		s.Listen.PeersAdvertised = p.address("listen", "peers-advertised")
--- a/membership/order.go
+++ b/membership/order.go
@@ -108,6 +108,17 @@
 // HostHash returns the hash that identifies a host in messages that compare tables.
 func HostHash(h mesh.HostID) uint64 { return xxhash.Sum64String(string(h)) }
 
+// RendezvousWeight mixes the hash of a host with an item, using the finalizer of
+// SplitMix64: the host with the highest weight owns the item. That is cheaper than
+// hashing both: 64 items and a view of 750 hosts need 48,000 weights.
+func RendezvousWeight(item, hash uint64) uint64 {
+	const increment, factor1, factor2 = 0x9e3779b97f4a7c15, 0xbf58476d1ce4e5b9, 0x94d049bb133111eb
+	x := hash + increment*(item+1)
+	x = (x ^ x>>30) * factor1
+	x = (x ^ x>>27) * factor2
+	return x ^ x>>31
+}
+
 func equal(a, b *Record) bool {
 	return a.Host == b.Host && a.Incarnation == b.Incarnation && a.Revision == b.Revision &&
 		a.State == b.State && a.Domain == b.Domain &&
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -118,6 +119,8 @@
 	nextDial    time.Time
 	redialDelay time.Duration
 	dialing     bool
+	// stopped is set when the link was lost while the host drained.
+	stopped bool
 }
 
 // linkState is what the directory knows of an open link.
@@ -512,6 +515,24 @@
 	return all, domain
 }
 
+// Hosts returns the other hosts, sorted: those that have not stopped, whether reachable or
+// not, and those with a link that know workspaces, quotas and roll-outs.
+func (d *Directory) Hosts() (known, reached []mesh.HostID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, p := range d.peers {
+		if !p.stopped {
+			known = append(known, id)
+		}
+		if state := d.links[d.manager.Link(id)]; state != nil && state.knowsWorkspaces {
+			reached = append(reached, id)
+		}
+	}
+	slices.Sort(known)
+	slices.Sort(reached)
+	return known, reached
+}
+
 // rebuildIndex rebuilds byService and hostCount. The caller holds the lock.
 func (d *Directory) rebuildIndex() {
 	byService := map[mesh.ServiceName][]*Peer{}
--- a/peers/links.go
+++ b/peers/links.go
@@ -77,6 +77,7 @@
 	var limited *LimitedEndpoint
 	var departed departures.List
 	if p := d.peers[l.Peer()]; p != nil {
+		p.stopped = false
 		departed = p.departures()
 		if e := p.lastEndpoint.Load(); e != nil && e.CallsPerSecond > 0 {
 			limited = &LimitedEndpoint{ID: e.ID, CallsPerSecond: e.CallsPerSecond}
@@ -120,7 +121,8 @@
 	if p := d.peers[l.Peer()]; p != nil && p.mux.CompareAndSwap(mux, nil) {
 		p.lastUp = time.Now()
 		p.nextDial = time.Now()
-		p.status.Store(nil)
+		status := p.status.Swap(nil)
+		p.stopped = status != nil && status.Draining
 	}
 	d.rebuildIndex()
 	d.mu.Unlock()
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -165,6 +166,9 @@
 	return m
 }
 
+// templateSection matches a section of the template, whose values the harness lacks.
+var templateSection = regexp.MustCompile(`(?s)\{\{#.*?\{\{/[^}]*\}\}\n?`)
+
 // writeSettings fills in the template of the deploy file.
 func (m *machine) writeSettings() string {
 	template, err := os.ReadFile("deploy/host.ini")
@@ -177,7 +181,7 @@
 		"{{listen.ready}}", m.ready, "{{listen.control}}", m.control, "{{ip}}", host, "{{port-range.0}}", port,
 		"{{provider.address}}", m.world.store.Address(), "{{provider.writes-per-s}}", "400", "{{bounds.grace-s}}", "6",
 		"{{bounds.config-apply-ms}}", "2000", "{{bounds.retry-budget-ratio}}", "0.2", "{{bounds.budget-slack}}", "58", "{{bounds.budget-window-s}}", "10",
-	).Replace(string(template))
+	).Replace(templateSection.ReplaceAllString(string(template), ""))
 	if m.advertised != m.inbound {
 		text = strings.Replace(text, "peers = "+m.inbound, "peers = "+m.inbound+"\npeers-advertised = "+m.advertised, 1)
 	}
