slotqueue: fair shares between workspaces

Change: calls of a workspace take slots in the order of virtual times within a rank; the expected queueing delay counts what goes before a call in that order and how often its workspace gets a slot; less urgent ranks keep a fifth of the starts. Calls without a workspace are ordered as before.

--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -38,6 +38,9 @@
 	// that were rejected together from being retried together.
 	minRetryAfterFraction = 0.15
 	maxRetryAfterFraction = 0.33
+	// maxExpectedRetryFraction bounds the part of the retry-after that is the expected
+	// queueing delay. What remains up to maxRetryAfterFraction is the random spread.
+	maxExpectedRetryFraction = (minRetryAfterFraction + maxRetryAfterFraction) / 2
 	// minClientShare is the share of the slots that nested calls leave to calls of
 	// clients which can meet their latency target. The requirements reserve a
 	// minimum share of 0.2 for other calls beside urgent ones.
@@ -87,6 +90,7 @@
 	call Call
 	// arrival is the position of the call in the order of arrival.
 	arrival uint64
+	share   *share
 	// ready receives true with a slot and false with a rejection.
 	ready     chan bool
 	waiting   bool
@@ -121,6 +125,7 @@
 	arrivals    uint64
 	means       map[Class]*movingAverage
 	overallMean movingAverage
+	fair        fairness
 	random      func() float64
 	// hasResponse is set when the endpoint has named a rate of starts or none.
 	hasResponse bool
@@ -160,7 +165,7 @@
 // New returns the queue of an endpoint with the given number of slots. The function random
 // returns numbers from 0 to 1, which spread the retry-after of rejections.
 func New(slots int, random func() float64) *Queue {
-	return &Queue{slots: slots, means: map[Class]*movingAverage{}, random: random}
+	return &Queue{slots: slots, means: map[Class]*movingAverage{}, fair: newFairness(), random: random}
 }
 
 // SetWake sets the function that has Dispatch called after a time. It must be set before
@@ -175,61 +180,66 @@
 	if q.closeReason != "" {
 		return nil, &Rejection{Reason: q.closeReason}
 	}
+	share := q.fair.offered(&c, now)
 	serviceTime := q.classMean(c.Class, now)
 	if c.DeadlineBy-now < time.Duration(minServiceTimeFraction*float64(serviceTime)) || c.DeadlineBy <= now {
 		return nil, &Rejection{Reason: call.ReasonCannotFinishInTime}
 	}
 	q.arrivals++
-	t := &Ticket{call: c, arrival: q.arrivals, ready: make(chan bool, 1), preparing: c.Preparing}
+	t := &Ticket{call: c, arrival: q.arrivals, share: share, ready: make(chan bool, 1), preparing: c.Preparing}
 	if !c.Preparing && q.nextToStart(now) < 0 && q.mayStart(now) {
-		q.grantSlot(t)
+		q.grantSlot(t, now)
 		return t, nil
 	}
-	if rejection := q.checkDelay(t, serviceTime, now); rejection != nil {
+	aheadOfOwn, rejection := q.checkDelay(t, serviceTime, now)
+	if rejection != nil {
 		return nil, rejection
 	}
 	t.waiting = true
+	t.share.wait(aheadOfOwn, now)
 	q.waiting = append(q.waiting, t)
 	q.dispatch(now)
 	return t, nil
 }
 
 // checkDelay rejects a call whose expected queueing delay is too long for its
-// deadline or its latency target.
-func (q *Queue) checkDelay(t *Ticket, serviceTime time.Duration, now boottime.Time) *Rejection {
-	ahead, late := 0, 0
-	for _, other := range q.waiting {
-		if q.goesBefore(other, t, now) {
-			ahead++
-		}
-		if q.isLate(other, now) {
-			late++
-		}
+// deadline or its latency target. It returns the number of calls of its share that start
+// before it.
+func (q *Queue) checkDelay(t *Ticket, serviceTime time.Duration, now boottime.Time) (aheadOfOwn int, rejection *Rejection) {
+	ahead, aheadOfOwn, late := q.countAhead(t, now)
+	delay := q.queueingDelay(ahead, now)
+	if t.call.Workspace != "" {
+		delay = max(delay, t.share.delay(aheadOfOwn, now))
 	}
-	start := max(now+q.queueingDelay(ahead, now), t.call.ReadyBy)
+	start := max(now+delay, t.call.ReadyBy)
 	if start+serviceTime > t.call.DeadlineBy {
-		return q.rejectFull(t, now)
+		return aheadOfOwn, q.rejectFull(t, delay, now)
 	}
 	if t.call.Class.Nested {
-		return nil
+		return aheadOfOwn, nil
 	}
 	if q.isLate(t, now) {
 		if ahead > late || float64(late) >= maxLateFraction*float64(q.slots) {
-			return q.rejectFull(t, now)
+			return aheadOfOwn, q.rejectFull(t, delay, now)
 		}
-		return nil
+		return aheadOfOwn, nil
 	}
 	if start+time.Duration(targetMargin*float64(serviceTime)) > t.call.TargetBy {
-		return q.rejectFull(t, now)
+		return aheadOfOwn, q.rejectFull(t, delay, now)
 	}
-	return nil
+	return aheadOfOwn, nil
 }
 
 // rejectFull returns the rejection by a queue that is too long for the call, with a
-// random retry-after.
-func (q *Queue) rejectFull(t *Ticket, now boottime.Time) *Rejection {
+// random retry-after. A call of a workspace is not asked back before its share is expected
+// to get a slot.
+func (q *Queue) rejectFull(t *Ticket, delay time.Duration, now boottime.Time) *Rejection {
 	remaining := float64(t.call.DeadlineBy - now)
-	fraction := minRetryAfterFraction + (maxRetryAfterFraction-minRetryAfterFraction)*q.random()
+	lowest := minRetryAfterFraction
+	if t.call.Workspace != "" {
+		lowest = min(max(lowest, float64(delay)/remaining), maxExpectedRetryFraction)
+	}
+	fraction := lowest + (maxRetryAfterFraction-lowest)*q.random()
 	return &Rejection{Reason: call.ReasonGateFull, RetryAfter: time.Duration(remaining * fraction)}
 }
 
@@ -254,8 +264,8 @@
 
 // goesBefore reports whether a starts before b. Nested calls go first, because
 // their callers hold slots, unless nested calls have reached their limit; then
-// calls that can meet their latency target; then by rank; then by target, which
-// puts client retries before new calls.
+// calls that can meet their latency target; then by rank; then by the virtual
+// times of workspaces; then by target, which puts client retries before new calls.
 func (q *Queue) goesBefore(a, b *Ticket, now boottime.Time) bool {
 	if a.call.Class.Nested != b.call.Class.Nested {
 		client := a
@@ -271,6 +281,11 @@
 	if a.call.Rank != b.call.Rank {
 		return a.call.Rank < b.call.Rank
 	}
+	if a.share != b.share {
+		if startA, startB := a.share.virtualStart(), b.share.virtualStart(); startA != startB {
+			return startA < startB
+		}
+	}
 	if a.call.TargetBy != b.call.TargetBy {
 		return a.call.TargetBy < b.call.TargetBy
 	}
@@ -294,7 +309,8 @@
 	return 0
 }
 
-func (q *Queue) grantSlot(t *Ticket) {
+func (q *Queue) grantSlot(t *Ticket, now boottime.Time) {
+	q.recordStart(t, t.waiting, now)
 	t.waiting, t.hasSlot = false, true
 	q.running++
 	if q.limit != nil {
@@ -315,7 +331,7 @@
 			best = i
 		}
 	}
-	return best
+	return q.reservedStart(best, now)
 }
 
 // MarkPrepared marks a preparing call as ready to get a slot.
@@ -342,11 +358,12 @@
 			q.reject(t, call.ReasonCannotFinishInTime)
 			continue
 		}
-		q.grantSlot(t)
+		q.grantSlot(t, now)
 	}
 }
 
 func (q *Queue) removeWaiting(i int) {
+	q.waiting[i].share.waiting--
 	last := len(q.waiting) - 1
 	q.waiting[i] = q.waiting[last]
 	q.waiting[last] = nil
@@ -386,6 +403,7 @@
 	}
 	t.hasSlot = false
 	q.running--
+	t.share.running--
 	if t.call.Class.Nested {
 		q.nested--
 	}
@@ -415,6 +433,7 @@
 	defer q.mu.Unlock()
 	q.closeReason = reason
 	for _, t := range q.waiting {
+		t.share.waiting--
 		q.reject(t, reason)
 	}
 	q.waiting = nil
