--- a/call/call.go
+++ b/call/call.go
@@ -127,8 +127,18 @@
 	ReasonUnknownKey         = "unknown_key"
 	ReasonQuotaExceeded      = "quota_exceeded"
 	ReasonLinkFull           = "link_full"
+	ReasonNestedRejected     = "nested_refused"
 )
 
+// IsLackOfRoom reports whether a call was rejected because there was no room for it in time.
+func IsLackOfRoom(reason string) bool {
+	switch reason {
+	case ReasonGateFull, ReasonCannotFinishInTime, ReasonLinkFull, ReasonNestedRejected:
+		return true
+	}
+	return false
+}
+
 // ErrNodeStopping is the cause of a cancelled context when the node that accepted the
 // call ends. The client still gets a response.
 var ErrNodeStopping = errors.New("call: node is stopping")
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -152,6 +152,9 @@
 	if err := observeLinks(registry.Meter(), n.directory.LocalTraffic, n.directory.RemoteTraffic); err != nil {
 		return nil, err
 	}
+	if err := observeShares(registry.Meter(), n.registration, gate.NestedAdmission, clock); err != nil {
+		return nil, err
+	}
 	n.registrar = &registrar{
 		store: n.store, record: record, logger: logger, addHosts: n.directory.AddRecords,
 		departures: newDepartureWriter(n.registration.Departures), onDepartures: func(known departures.List) { n.learnDepartures(known, "store") },
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -220,7 +220,7 @@
 // the response is written, because the parent may end as soon as it has that.
 func (x *exchange) reportNestedFailure() {
 	if x.Nested && (x.Status >= http.StatusBadRequest || x.Status == 0) {
-		x.c.server.config.RunningCalls.MarkNestedFailed(x.ID)
+		x.c.server.config.RunningCalls.MarkNestedFailed(x.ID, x.Result.Outcome == call.Rejected && call.IsLackOfRoom(x.Reason))
 	}
 }
 
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -149,7 +149,7 @@
 	case r.Outcome == call.Rejected:
 		s.rejected = longerRetryAfter(s.rejected, r)
 		s.rejections++
-		if s.rejections < maxRejections && r.Reason != call.ReasonCannotFinishInTime && s.mayTryAnotherGate(r) {
+		if s.rejections < maxRejections && r.Reason != call.ReasonCannotFinishInTime && r.Reason != call.ReasonNestedRejected && s.mayTryAnotherGate(r) {
 			return r, true
 		}
 		return s.exhaustedResult(), false
--- a/localendpoint/gate.go
+++ b/localendpoint/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -44,12 +45,14 @@
 	buffers      *call.Buffers
 	// RunningCalls tracks the calls that the endpoint is executing.
 	RunningCalls *RunningCalls
+	// NestedAdmission limits the calls of workspaces whose nested calls are rejected.
+	NestedAdmission *NestedAdmission
 }
 
 // NewGate returns a gate for the registered endpoint. Long responses are read into the
 // buffers while these have room.
 func NewGate(registration *Registration, headers call.Headers, clock boottime.Clock, observer Observer, buffers *call.Buffers) *Gate {
-	return &Gate{registration: registration, headers: headers, clock: clock, observer: observer, buffers: buffers, RunningCalls: NewRunningCalls()}
+	return &Gate{registration: registration, headers: headers, clock: clock, observer: observer, buffers: buffers, RunningCalls: NewRunningCalls(), NestedAdmission: NewNestedAdmission()}
 }
 
 // Run waits for a slot and executes the call. When ctx ends, a waiting call is
@@ -67,6 +70,10 @@
 		Class: slotqueue.Class{Kind: c.Kind, Rank: c.ClassRank, Nested: c.Nested}, Rank: c.Rank, Workspace: c.Workspace,
 		TargetBy: arrived + c.TargetRemaining, DeadlineBy: deadline,
 	}
+	limitsNested := c.Workspace != "" && !c.Nested
+	if limitsNested && !g.NestedAdmission.Admits(queued.Class, c.Workspace, rand.Float64(), arrived) {
+		return g.report(c, e, call.Result{Outcome: call.Rejected, Reason: call.ReasonNestedRejected}, 0, 0)
+	}
 	remote, _ := c.Body.(call.RemoteBody)
 	if remote != nil {
 		queued.Preparing, queued.ReadyBy = true, arrived+remote.ExpectedFetchTime()
@@ -98,7 +105,11 @@
 	}
 	g.RunningCalls.add(c.ID, Parent{Rank: c.Rank, ClassRank: c.ClassRank, Workspace: c.Workspace})
 	r := x.roundTrip(ctx)
-	r.NestedFailed = g.RunningCalls.remove(c.ID)
+	nested := g.RunningCalls.remove(c.ID)
+	r.NestedFailed = nested.failed
+	if limitsNested && (nested.rejected || r.Outcome == call.Answered) {
+		g.NestedAdmission.Record(queued.Class, c.Workspace, nested.rejected, g.clock())
+	}
 	if r.Response == nil || r.Response.Stream == nil {
 		x.releaseSlot(r)
 	}
--- a/localendpoint/running.go
+++ b/localendpoint/running.go
@@ -25,8 +25,14 @@
 // runningCall is a call that the endpoint is executing.
 type runningCall struct {
 	Parent
-	// nestedFailed is set when a nested call of it had no successful response.
-	nestedFailed bool
+	nested nestedResults
+}
+
+// nestedResults is what is known of the nested calls of a call.
+type nestedResults struct {
+	// failed is set when one had no successful response, rejected when one was rejected
+	// for lack of room.
+	failed, rejected bool
 }
 
 // NewRunningCalls returns an empty registry.
@@ -38,13 +44,16 @@
 	r.calls[id] = &runningCall{Parent: p}
 }
 
-// remove removes a call and reports whether a nested call of it failed.
-func (r *RunningCalls) remove(id string) bool {
+// remove removes a call and returns the results of its nested calls.
+func (r *RunningCalls) remove(id string) nestedResults {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.calls[id]
 	delete(r.calls, id)
-	return p != nil && p.nestedFailed
+	if p == nil {
+		return nestedResults{}
+	}
+	return p.nested
 }
 
 // Parent returns what the call with the given ID takes over from the running call that is
@@ -59,12 +68,13 @@
 }
 
 // MarkNestedFailed marks the parent of the nested call with the given ID: the nested
-// call had no successful response.
-func (r *RunningCalls) MarkNestedFailed(id string) {
+// call had no successful response. Rejected is set when it was rejected for lack of room.
+func (r *RunningCalls) MarkNestedFailed(id string, rejected bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p := r.findParent(id); p != nil {
-		p.nestedFailed = true
+		p.nested.failed = true
+		p.nested.rejected = p.nested.rejected || rejected
 	}
 }
 
