Keys: nested calls of lost parents, events, metric, notes, tests of failures

Cause: 503 instead of 401 went to every request without a key whose ID has a separator, also to clients with IDs of that form. Operators could not see whose calls are rejected. A nested call that an endpoint makes while it streams its response had no parent, since the call counted as running until the head only; with keys it would be rejected. Change: 503 unknown_parent only if the parent ended without a whole response (hashes of the last 400 such calls), or while an earlier process of the node may have passed it on (longest timeout of the plan's routes). A call runs until its streamed response ends; without workspaces this changes the rank of nested calls of such endpoints to that of their parents.

--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -126,10 +126,13 @@
 	n.settings.Store(s)
 	n.planKeeper = &planKeeper{
 		clock: clock, store: n.store, current: &n.plan, logger: logger, tracker: plansync.New(fmt.Sprint(s.Host, "/", n.started.UnixNano()), s.PlanDeadline),
-		rank:             func() (all, domain int) { return n.directory.Rank() },
-		askPeer:          func(host mesh.HostID, have uint64) error { return n.directory.RequestPlan(host, have) },
-		peersHeard:       func() bool { return n.peersHeard() },
-		onActivated:      func(p *routeplan.Plan) { n.ingress.PlanChanged(p) },
+		rank:       func() (all, domain int) { return n.directory.Rank() },
+		askPeer:    func(host mesh.HostID, have uint64) error { return n.directory.RequestPlan(host, have) },
+		peersHeard: func() bool { return n.peersHeard() },
+		onActivated: func(old, p *routeplan.Plan) {
+			observer.workspaces.planChanged(old, p)
+			n.ingress.PlanChanged(p)
+		},
 		onConfirmed:      func() { n.directory.ReportNow() },
 		onStoreRecovered: func() { n.registrar.signalStoreRecovered() },
 		monitor:          storeMonitor{logger: logger, use: "plan"},
--- a/hostnode/observe.go
+++ b/hostnode/observe.go
@@ -35,6 +35,7 @@
 	queueDelay                               metric.Float64Histogram
 	suppressed                               metric.Int64Counter
 	hedges                                   metric.Int64Counter
+	workspaces                               *workspaceObserver
 }
 
 // latencyBuckets are the bounds of the histograms in seconds, around the usual
@@ -48,7 +49,7 @@
 		failedLimit:   rate.NewLimiter(failedLinesPerSecond, failedLinesPerSecond),
 		attemptLimit:  rate.NewLimiter(attemptLinesPerSecond, attemptLinesPerSecond),
 	}
-	var errs [8]error
+	var errs [9]error
 	o.calls, errs[0] = meter.Int64Counter("host_calls", metric.WithDescription("calls of clients and of the endpoint by status and reason"))
 	o.duration, errs[1] = meter.Float64Histogram("host_call_seconds", latencyBuckets, metric.WithDescription("time from the head of a request to its answer"))
 	o.attempts, errs[2] = meter.Int64Counter("host_attempts", metric.WithDescription("attempts at the endpoint of the host by fate and reason"))
@@ -58,6 +59,7 @@
 		counterCallback(droppedLines))
 	_, errs[6] = meter.Int64ObservableCounter("host_store_calls", metric.WithDescription("calls to the platform's store"), counterCallback(storeCalls))
 	o.hedges, errs[7] = meter.Int64Counter("host_hedges", metric.WithDescription("second attempts of idempotent calls while the first had no answer"))
+	o.workspaces, errs[8] = newWorkspaceObserver(logger, meter)
 	return o, errors.Join(errs[:]...)
 }
 
@@ -97,6 +99,9 @@
 	ctx := context.Background()
 	o.calls.Add(ctx, 1, metric.WithAttributes(attribute.Int("status", e.Status), attribute.String("reason", e.Reason)))
 	o.duration.Record(ctx, e.Duration.Seconds())
+	if o.workspaces.finished(e) {
+		return
+	}
 	event, limiter := eventCallFinished, o.finishedLimit
 	if e.Status >= http.StatusBadRequest || e.Status == 0 {
 		event, limiter = eventCallFailed, o.failedLimit
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -40,10 +40,11 @@
 	// precede this one.
 	rank    func() (all, domain int)
 	askPeer func(host mesh.HostID, have uint64) error
-	// onActivated is called with each plan that was activated. onConfirmed is called
+	// onActivated is called with each plan that was activated and the one before, which is
+	// nil for the first one. onConfirmed is called
 	// after each read of the store that found a plan, whether new or unchanged, and after
 	// the activation of a plan from a peer.
-	onActivated func(*routeplan.Plan)
+	onActivated func(old, plan *routeplan.Plan)
 	onConfirmed func()
 	// onStoreRecovered is called when the store answers this host or a peer again, and
 	// when one of them finds it restored from a copy.
@@ -120,7 +121,7 @@
 func (k *planKeeper) activateDelta(d routeplan.Delta, from mesh.HostID) {
 	current := k.current.Load()
 	if d.MayLackWorkspaces && mayHaveWorkspaces(current) {
-		eventPlanIgnored.Log(k.logger, "source", from, "version", d.Version)
+		eventPlanRefused.Log(k.logger, "source", from, "version", d.Version)
 		return
 	}
 	plan, err := d.Apply(current)
@@ -165,7 +166,7 @@
 	}
 	eventPlanActivated.Log(k.logger, "source", source, "version", plan.Version, "before", previous, "routes", len(plan.Routes))
 	k.tracker.SetActiveVersion(plan.Version)
-	k.onActivated(plan)
+	k.onActivated(old, plan)
 	return true
 }
 
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -28,8 +28,7 @@
 	switch {
 	case x.Route.Public || x.Nested:
 		return nil
-	case key == "" && localendpoint.IsNestedID(x.ID):
-		// Its parent may have ended, or begun before this process: no client is at fault.
+	case key == "" && x.mayHaveLostParent(plan):
 		return &routeFailure{http.StatusServiceUnavailable, call.ReasonUnknownParent, 0}
 	case key == "":
 		return &routeFailure{http.StatusUnauthorized, call.ReasonUnknownKey, 0}
@@ -43,6 +42,17 @@
 	return nil
 }
 
+// mayHaveLostParent reports whether the request may be a nested call whose parent ended
+// without a response, or was passed to the endpoint by an earlier process of this node. Its
+// sender is an endpoint, which has no key.
+func (x *exchange) mayHaveLostParent(plan *routeplan.Plan) bool {
+	s := x.c.server
+	if s.config.RunningCalls.BrokeOffParent(x.ID) {
+		return true
+	}
+	return localendpoint.IsNestedID(x.ID) && x.started-s.started < plan.LongestTimeout()
+}
+
 // hasSpacedName reports whether a header name contains a space. net/http accepts a space
 // before the colon and does not find such a header by its name, but endpoints may: a key
 // could pass. RFC 9112, section 5.1, asks servers to reject such requests.
--- a/ingress/keys_test.go
+++ b/ingress/keys_test.go
@@ -1,10 +1,13 @@
 package ingress_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -225,3 +228,67 @@
 		So(byWorkspace, ShouldResemble, map[mesh.WorkspaceName]int{"a": 1, "b": 1, "": 1})
 	})
 }
+
+// Guards against 401 for a call of an endpoint whose parent ended, and against 503 for
+// clients that choose such IDs.
+func TestNestedCallsOfLostParents(t *testing.T) {
+	statusOf := func(ts *testServer, id string) int {
+		conn, r := ts.dial()
+		defer func() { _ = conn.Close() }()
+		_, err := io.WriteString(conn, get(id, "/read/"))
+		So(err, ShouldBeNil)
+		status, _, _ := readResponse(r)
+		return status
+	}
+	inBubble(t, "a call whose client has disconnected", func() {
+		started := make(chan struct{})
+		ts := newBubbleServer(func(_ http.ResponseWriter, r *http.Request) {
+			close(started)
+			<-r.Context().Done()
+		})
+		defer ts.close()
+		ts.plan.Activate(keyedPlan(1, workspace("a", "key-a")))
+		time.Sleep(4 * time.Second)
+		// An earlier process may have passed the parent on: the longest timeout is 5 s.
+		So(statusOf(ts, "8.1"), ShouldEqual, 503)
+		time.Sleep(2 * time.Second)
+		So(statusOf(ts, "8.1"), ShouldEqual, 401)
+		conn, _ := ts.dial()
+		_, err := io.WriteString(conn, request("GET", "1", "/read/", standin.KeyLine("key-a")))
+		So(err, ShouldBeNil)
+		<-started
+		So(conn.Close(), ShouldBeNil)
+		So(ts.waitForExchange("1").Reason, ShouldEqual, call.ReasonCancelled)
+		synctest.Wait()
+		So(statusOf(ts, "1.1"), ShouldEqual, 503)
+		So(statusOf(ts, "8.1"), ShouldEqual, 401)
+	})
+	inBubble(t, "a call whose response is streamed", func() {
+		calls := make(chan received, 2)
+		var ts *testServer
+		ts = newBubbleServer(func(out http.ResponseWriter, r *http.Request) {
+			name, _ := standin.ReceivedWorkspace(r, "")
+			calls <- received{workspace: name}
+			if requestID(r) != "1" {
+				return
+			}
+			_, _ = io.WriteString(out, strings.Repeat("x", 2<<20)) // The client checks the body.
+			conn, in := ts.dial()
+			_, _ = io.WriteString(conn, get("1.1", "/read/")) // A failed write leads to the status 0.
+			status, _, _ := readResponse(in)
+			_ = conn.Close()
+			_, _ = io.WriteString(out, fmt.Sprint(status))
+		})
+		defer ts.close()
+		ts.plan.Activate(keyedPlan(1, workspace("a", "key-a")))
+		time.Sleep(6 * time.Second)
+		conn, r := ts.dial()
+		defer func() { _ = conn.Close() }()
+		_, err := io.WriteString(conn, request("GET", "1", "/read/", standin.KeyLine("key-a")))
+		So(err, ShouldBeNil)
+		status, body, _ := readResponse(r)
+		So(status, ShouldEqual, 200)
+		So(strings.HasSuffix(body, "x200"), ShouldBeTrue)
+		So([]received{<-calls, <-calls}, ShouldResemble, []received{{workspace: "a"}, {}})
+	})
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -103,6 +103,7 @@
 // Server serves the connections of clients.
 type Server struct {
 	config   Config
+	started  boottime.Time
 	splitter routeplan.Splitter
 	ages     ageEstimator
 
@@ -119,7 +120,7 @@
 
 // New returns a server that serves no listener yet.
 func New(config Config) *Server {
-	return &Server{config: config, conns: map[*connection]struct{}{}}
+	return &Server{config: config, started: config.Clock(), conns: map[*connection]struct{}{}}
 }
 
 // Serve accepts connections until the listener is closed.
--- a/localendpoint/gate.go
+++ b/localendpoint/gate.go
@@ -86,8 +86,13 @@
 	started := g.clock()
 	x := &exchange{gate: g, endpoint: e, call: c, remaining: deadline - started}
 	var once sync.Once
+	isRunning := false
 	x.releaseSlot = func(r call.Result) {
 		once.Do(func() {
+			if isRunning {
+				// A response that is streamed ends here: until then the endpoint may make calls.
+				g.RunningCalls.remove(c.ID, r.Outcome == call.Answered)
+			}
 			g.finishAttempt(e, ticket, r, g.clock()-started)
 		})
 	}
@@ -96,9 +101,10 @@
 		x.releaseSlot(r)
 		return g.report(c, e, r, started-arrived, 0)
 	}
+	isRunning = true
 	g.RunningCalls.add(c.ID, Parent{Rank: c.Rank, ClassRank: c.ClassRank, Workspace: c.Workspace})
 	r := x.roundTrip(ctx)
-	r.NestedFailed = g.RunningCalls.remove(c.ID)
+	r.NestedFailed = g.RunningCalls.nestedFailed(c.ID)
 	if r.Response == nil || r.Response.Stream == nil {
 		x.releaseSlot(r)
 	}
--- a/localendpoint/running.go
+++ b/localendpoint/running.go
@@ -1,6 +1,8 @@
 package localendpoint
 
 import (
+	"hash/maphash"
+	"slices"
 	"strings"
 	"sync"
 
@@ -14,8 +16,19 @@
 type RunningCalls struct {
 	mu    sync.Mutex
 	calls map[string]*runningCall
+	// brokenOff holds the hashes of the IDs of the latest calls that ended without a whole
+	// response, since the endpoint may go on to execute them. A hash bounds their memory
+	// whatever the length of the IDs; next is the place of the next one.
+	brokenOff [maxBrokenOff]uint64
+	next      int
+	seed      maphash.Seed
 }
 
+// maxBrokenOff is the number of calls that ended without a whole response and are
+// remembered: those of 4 s, a usual timeout, at a node with 100 calls a second that all end
+// so.
+const maxBrokenOff = 400
+
 // Parent holds what nested calls take over from the call that makes them.
 type Parent struct {
 	Rank, ClassRank uint8
@@ -30,7 +43,9 @@
 }
 
 // NewRunningCalls returns an empty registry.
-func NewRunningCalls() *RunningCalls { return &RunningCalls{calls: map[string]*runningCall{}} }
+func NewRunningCalls() *RunningCalls {
+	return &RunningCalls{calls: map[string]*runningCall{}, seed: maphash.MakeSeed()}
+}
 
 func (r *RunningCalls) add(id string, p Parent) {
 	r.mu.Lock()
@@ -38,15 +53,40 @@
 	r.calls[id] = &runningCall{Parent: p}
 }
 
-// remove removes a call and reports whether a nested call of it failed.
-func (r *RunningCalls) remove(id string) bool {
+// remove removes a call. If it ended without a whole response, its ID is remembered.
+func (r *RunningCalls) remove(id string, isComplete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.calls[id]
 	delete(r.calls, id)
+	if !isComplete {
+		r.brokenOff[r.next] = r.hash(id)
+		r.next = (r.next + 1) % maxBrokenOff
+	}
+}
+
+// hash returns the hash of an ID, which is not 0.
+func (r *RunningCalls) hash(id string) uint64 { return maphash.String(r.seed, id) | 1 }
+
+// nestedFailed reports whether a nested call of a running call had no successful response.
+func (r *RunningCalls) nestedFailed(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.calls[id]
 	return p != nil && p.nestedFailed
 }
 
+// BrokeOffParent reports whether the call with the given ID may be nested in a call that
+// ended without a whole response.
+func (r *RunningCalls) BrokeOffParent(id string) bool {
+	parent, found := parentID(id)
+	if !found {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.brokenOff[:], r.hash(parent))
+}
+
 // Parent returns what the call with the given ID takes over from the running call that is
 // its parent. It reports false when the call has no running parent.
 func (r *RunningCalls) Parent(id string) (parent Parent, found bool) {
--- a/peers/export_test.go
+++ b/peers/export_test.go
@@ -1,6 +1,10 @@
 package peers
 
-import "geraniumnotch.example/geraniumnotch/transport"
+import (
+	"geraniumnotch.example/geraniumnotch/mesh"
+	"geraniumnotch.example/geraniumnotch/routeplan"
+	"geraniumnotch.example/geraniumnotch/transport"
+)
 
 // DeltaRoundTrip returns the status as a peer with the base learns of it by a delta. It
 // reports false if it cannot be sent as a delta to the base.
@@ -31,3 +35,27 @@
 
 // ReportsClasses is reportsClasses.
 var ReportsClasses = reportsClasses
+
+// SetEarlierProgram makes the directory treat a linked host as one whose program does not
+// know workspaces.
+func (d *Directory) SetEarlierProgram(host mesh.HostID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.links[d.manager.Link(host)].knowsWorkspaces = false
+}
+
+// DecodeKeyedPlan is decodeKeyedPlan.
+var DecodeKeyedPlan = decodeKeyedPlan
+
+// EncodeKeyedPlan returns the body of the message with a plan with workspaces.
+func EncodeKeyedPlan(d routeplan.Delta) []byte {
+	frame, err := transport.EncodeFrame(transport.KindKeyedPlanValue, keyedPlan{Plan: d, Workspaces: d.Workspaces})
+	if err != nil {
+		panic(err)
+	}
+	m, err := transport.ParseFrame(frame)
+	if err != nil {
+		panic(err)
+	}
+	return m.Body
+}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -42,6 +42,8 @@
 	running      atomic.Int64
 	planVersions chan uint64
 	plans        chan routeplan.Delta
+	// workspaces are those in deltas to the version 4 of the host's plan, nil for none.
+	workspaces atomic.Pointer[routeplan.WorkspaceDelta]
 	// paused is set while the host sends no status reports.
 	paused atomic.Bool
 	// departed is what the host reports of endpoints that have left, nil for none.
@@ -92,7 +94,11 @@
 		},
 		OnReceiverDeparted: func(known departures.List, _ mesh.HostID) { h.learned <- known },
 		PlanDelta: func(have uint64) (routeplan.Delta, bool) {
-			return routeplan.Delta{Base: have, Version: h.version.Load()}, true
+			d := routeplan.Delta{Base: have, Version: h.version.Load()}
+			if have == 4 {
+				d.Workspaces = h.workspaces.Load()
+			}
+			return d, true
 		},
 		OnPlan: func(d routeplan.Delta, _ mesh.HostID) { h.plans <- d },
 		OnPlanReport: func(r plansync.Report) {
--- a/routeplan/routeplan.go
+++ b/routeplan/routeplan.go
@@ -110,6 +110,8 @@
 	// Workspaces is empty when calls need no keys.
 	Workspaces []Workspace
 
+	longestTimeout time.Duration
+
 	byKey    map[Fingerprint]*Workspace
 	byHost   map[string]map[string]*Route
 	services map[mesh.ServiceName]*Service
@@ -172,9 +174,13 @@
 		return errors.Wrapf(ErrDuplicate, "%s %s", r.Host, r.Prefix)
 	}
 	prefixes[r.Prefix] = r
+	p.longestTimeout = max(p.longestTimeout, r.Timeout)
 	return nil
 }
 
+// LongestTimeout returns the longest timeout of a route.
+func (p *Plan) LongestTimeout() time.Duration { return p.longestTimeout }
+
 // Match returns the route of the host with the longest prefix of the path, or nil.
 // A query is not part of the path.
 func (p *Plan) Match(host, path string) *Route {
--- a/routeplan/workspace.go
+++ b/routeplan/workspace.go
@@ -89,3 +89,33 @@
 // WorkspaceOf returns the workspace that holds the key, or nil. The look-up is by the hash
 // of the key, so that its duration tells nothing about the keys of the plan.
 func (p *Plan) WorkspaceOf(key string) *Workspace { return p.byKey[FingerprintOf(key)] }
+
+// KeyChanges counts the keys in which two plans differ.
+type KeyChanges struct {
+	Added, Removed int
+	// Moved counts the keys that another workspace holds.
+	Moved int
+}
+
+// KeyChanges returns the differences to the keys of a plan before, which may be nil.
+func (p *Plan) KeyChanges(old *Plan) KeyChanges {
+	changes := KeyChanges{}
+	if old == nil {
+		changes.Added = len(p.byKey)
+		return changes
+	}
+	kept := 0
+	for key, w := range p.byKey {
+		before := old.byKey[key]
+		switch {
+		case before == nil:
+			changes.Added++
+			continue
+		case before.Name != w.Name:
+			changes.Moved++
+		}
+		kept++
+	}
+	changes.Removed = len(old.byKey) - kept
+	return changes
+}
