--- a/hostnode/keys_test.go
+++ b/hostnode/keys_test.go
@@ -51,9 +51,12 @@
 	for i, key := range keys {
 		workspaces[i] = standin.Workspace{Name: "w-" + key, Keys: []string{key}}
 	}
-	return standin.ConfigWithWorkspaces(version, workspaces, "one", "two")
+	return standin.ConfigWithWorkspaces(version, workspaces, keyedRoutes...)
 }
 
+// keyedRoutes are the routes of the services "one" and "two".
+var keyedRoutes = []standin.Route{{Path: "one", Service: "one"}, {Path: "two", Service: "two"}}
+
 // getWithKey sends a call with a key to the host's ingress.
 func (h *fixtureHost) getWithKey(id, path, key string) int {
 	request := h.request(id, path)
@@ -157,7 +160,7 @@
 	inBubble(t, "two workspaces with the same key", func(t *testing.T) {
 		f := newKeyedFixture(t)
 		defer f.close()
-		f.store.Write(platform.ConfigKey, standin.ConfigWithWorkspaces(9, []standin.Workspace{{Name: "w", Keys: []string{"old-key", "secret"}}, {Name: "v", Keys: []string{"secret"}}}, "one", "two"))
+		f.store.Write(platform.ConfigKey, standin.ConfigWithWorkspaces(9, []standin.Workspace{{Name: "w", Keys: []string{"old-key", "secret"}}, {Name: "v", Keys: []string{"secret"}}}, keyedRoutes...))
 		time.Sleep(planDeadline)
 		So(f.allHave(4), ShouldBeTrue)
 		So(f.a.getWithKey("1", "/two/", "old-key"), ShouldEqual, 200)
@@ -172,7 +175,7 @@
 			keys := []string{fmt.Sprint("key-", version), "stays"}
 			f.store.Write(platform.ConfigKey, standin.ConfigWithWorkspaces(version, []standin.Workspace{
 				{Name: fmt.Sprint("w", version%2), Keys: keys[:1]}, {Name: fmt.Sprint("w", (version+1)%2), Keys: keys[1:]},
-			}, "one", "two"))
+			}, keyedRoutes...))
 			waitFor(func() bool { return f.allHave(uint64(version)) })
 			So(f.a.getWithKey("1", "/two/", keys[0]), ShouldEqual, 200)
 			So(<-f.received, ShouldEqual, fmt.Sprintf("w%d false", version%2))
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -70,6 +70,12 @@
 	}
 	header := http.Header{}
 	standin.SetClientHeaders(header, call.id, clientDeadline)
+	if call.key != "" {
+		standin.SetKey(header, call.key)
+	}
+	if call.note != "" {
+		header.Set(workspaceNote, call.note)
+	}
 	var text strings.Builder
 	_, _ = fmt.Fprintf(&text, "%s /%s/%s HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n", method, call.path, call.rest, call.bodyBytes)
 	_ = header.Write(&text) // A strings.Builder returns no errors.
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -48,9 +48,11 @@
 type cluster struct {
 	dir    string
 	random *rand.Rand
-	store  *standin.Store
-	hosts  []*host
-	done   chan struct{}
+	// keyed is set if the configurations have workspaces.
+	keyed bool
+	store *standin.Store
+	hosts []*host
+	done  chan struct{}
 	// storeFaultsDrawn counts the faults of the store that the plan has.
 	storeFaultsDrawn atomic.Int32
 
@@ -121,8 +123,8 @@
 	newestVersion int
 }
 
-func newCluster(dir string, random *rand.Rand, hosts int) *cluster {
-	c := &cluster{dir: dir, random: random, store: standin.New(), done: make(chan struct{}), executions: map[string][]*execution{}}
+func newCluster(dir string, random *rand.Rand, hosts int, keyed bool) *cluster {
+	c := &cluster{dir: dir, random: random, keyed: keyed, store: standin.New(), done: make(chan struct{}), executions: map[string][]*execution{}}
 	c.store.SetFault(func(string) standin.Fault { return c.activeStoreFault() })
 	c.writeVersion()
 	for i := range hosts {
@@ -196,7 +198,7 @@
 	defer c.mu.Unlock()
 	c.copies = append(c.copies[max(0, len(c.copies)-maxCopies+1):], c.store.Copy())
 	c.version++
-	c.configuration = standin.ConfigWithRoutes(c.version,
+	c.configuration = standin.ConfigWithWorkspaces(c.version, c.workspaces(),
 		standin.Route{Path: "one", Service: "one"}, standin.Route{Path: "two", Service: "two"},
 		standin.Route{Path: "once-one", Service: "one", AtMostOnce: true}, standin.Route{Path: "once-two", Service: "two", AtMostOnce: true},
 		standin.Route{Path: versionPath(c.version), Service: "one"},
@@ -234,6 +236,7 @@
 		f.send(rw, id)
 		return
 	}
+	h.checkWorkspace(r, id)
 	e := &execution{host: h, begin: time.Now()}
 	h.cluster.mu.Lock()
 	h.cluster.executions[id] = append(h.cluster.executions[id], e)
--- a/soak/flood_test.go
+++ b/soak/flood_test.go
@@ -118,7 +118,7 @@
 		t.Skip("the system does not tell the memory of a process")
 	}
 	Convey("four hosts, the endpoints of one service flood", t, func() {
-		c := newCluster(t.TempDir(), rand.New(rand.NewPCG(1, 0)), defaultHosts)
+		c := newCluster(t.TempDir(), rand.New(rand.NewPCG(1, 0)), defaultHosts, false)
 		defer c.close()
 		So(c.awaitServing(), ShouldBeTrue)
 		for _, name := range slices.Sorted(maps.Keys(floods)) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -99,7 +99,7 @@
 // runSeed starts a cluster, injects the faults of a seed while clients call it, and
 // returns the violated promises and a summary of the calls.
 func runSeed(dir string, seed uint64, faultPeriod time.Duration) (failures []string, summary string) {
-	c := newCluster(dir, rand.New(rand.NewPCG(seed, 0)), *hostCount)
+	c := newCluster(dir, rand.New(rand.NewPCG(seed, 0)), *hostCount, hasWorkspaces(seed))
 	defer c.close()
 	go c.recordStalls()
 	if !c.awaitServing() {
--- a/soak/traffic_test.go
+++ b/soak/traffic_test.go
@@ -39,8 +39,12 @@
 	// path is the route's path, rest the path below it.
 	path, rest string
 	atMostOnce bool
-	bodyBytes  int
-	sentAt     time.Time
+	// isProbe is set for calls that only some versions allow.
+	isProbe bool
+	// key is the key of the client, empty for none, and note the header workspaceNote.
+	key, note string
+	bodyBytes int
+	sentAt    time.Time
 	// written is when the last byte of the request was written, zero if it was not.
 	written time.Time
 	latency time.Duration
@@ -82,9 +86,12 @@
 
 // newCall returns a call to a route of a service that has not been sent yet.
 func (h *host) newCall(path, service string, bodyBytes int) *callRecord {
-	id := fmt.Sprintf("%016x", lastCallID.Add(1))
+	id, key := fmt.Sprintf("%016x", lastCallID.Add(1)), ""
+	if h.cluster.keyed {
+		key = keyOf(workspaceOf(id))
+	}
 	return &callRecord{
-		id: id, host: h, path: path, rest: "x", atMostOnce: strings.HasPrefix(path, "once"), bodyBytes: bodyBytes,
+		id: id, host: h, key: key, path: path, rest: "x", atMostOnce: strings.HasPrefix(path, "once"), bodyBytes: bodyBytes,
 		wantBody: fmt.Sprintf("%s %s %d", id, service, bodyBytes),
 	}
 }
@@ -108,7 +115,22 @@
 
 // call makes one call and returns its result.
 func (l *client) call(path, service string, bodyBytes int) *callRecord {
-	call := l.host.newCall(path, service, bodyBytes)
+	return l.make(l.host.newCall(path, service, bodyBytes))
+}
+
+// newProbe returns a call that only some versions allow. It has a key if there are
+// workspaces: the given one unless it is empty.
+func (l *client) newProbe(path, key string) *callRecord {
+	call := l.host.newCall(path, "one", 0)
+	call.isProbe = true
+	if key != "" {
+		call.key = key
+	}
+	return call
+}
+
+// make makes a call and returns it with its result.
+func (l *client) make(call *callRecord) *callRecord {
 	if l.conn == nil {
 		conn, err := l.host.dial()
 		if err != nil {
@@ -208,7 +230,10 @@
 	case 2:
 		l.call("once-"+service, service, 100)
 	default:
-		c.probeVersions(l)
+		c.probeVersions(l, func(version int) *callRecord { return l.newProbe(versionPath(version), "") })
+		if i%16 == 3 {
+			c.probeKeys(l)
+		}
 	}
 }
 
@@ -218,10 +243,10 @@
 	c.calls = append(c.calls, call)
 }
 
-// probeVersions calls the routes of the newest version and of the one before. It checks
-// that a new plan is active within planDeadline and that no process serves an older
-// version after a newer one.
-func (c *cluster) probeVersions(l *client) {
+// probeVersions makes calls that only the newest version allows, and those that only the one
+// before does. It checks that a new plan is active within planDeadline and that no process
+// serves an older version after a newer one.
+func (c *cluster) probeVersions(l *client, newProbe func(version int) *callRecord) {
 	h := l.host
 	version, writtenAt, storeFaultyUntil := c.newestVersion()
 	h.mu.Lock()
@@ -229,7 +254,7 @@
 	h.mu.Unlock()
 	for _, v := range []int{version, version - 1} {
 		sentAt := time.Now()
-		call := l.call(versionPath(v), "one", 0)
+		call := l.make(newProbe(v))
 		if call.err != nil || call.status != http.StatusOK {
 			continue
 		}
@@ -243,9 +268,9 @@
 		noFaults := h.hadNoFault(writtenAt.Add(-faultFreePeriod), time.Now(), true) && storeFaultyUntil.Before(writtenAt.Add(-faultFreePeriod))
 		switch {
 		case sameProcess && v < newestVersion:
-			c.fail("%s served the route of version %d after that of version %d", h.name, v, newestVersion)
+			c.fail("%s served %s of version %d after one of version %d", h.name, call, v, newestVersion)
 		case v < version && currentVersion == version && noFaults && sentAt.Sub(writtenAt) > planDeadline:
-			c.fail("%s served the route of version %d %v after version %d was written", h.name, v, sentAt.Sub(writtenAt), version)
+			c.fail("%s served %s of version %d %v after version %d was written", h.name, call, v, sentAt.Sub(writtenAt), version)
 		}
 		if v == version {
 			newestVersion = v
@@ -261,22 +286,23 @@
 	served, answered := 0, 0
 	for _, call := range calls {
 		executed := len(executions[call.id])
-		isProbe := strings.HasPrefix(call.path, "v")
-		if call.err == nil && !isProbe {
+		if call.err == nil && !call.isProbe {
 			answered++
 		}
 		switch {
+		case call.key == unknownKey && (executed > 0 || call.err == nil && call.status != http.StatusUnauthorized && call.status != http.StatusServiceUnavailable):
+			c.fail("%s with an unknown key was executed %d times and got status %d", call, executed, call.status)
 		case call.atMostOnce && executed > 1:
 			c.fail("%s was executed %d times", call, executed)
 		case call.atMostOnce && executed > 0 && (call.status == http.StatusServiceUnavailable || call.status == http.StatusTooManyRequests):
 			c.fail("%s was rejected with status %d and executed", call, call.status)
 		case call.err == nil && call.status == http.StatusOK && call.body != call.wantBody:
 			c.fail("%s at %s got the wrong response %.100q of %d bytes", call, call.host.name, call.body, len(call.body))
-		case call.err == nil && call.status == http.StatusOK && !isProbe:
+		case call.err == nil && call.status == http.StatusOK && !call.isProbe:
 			served++
 		case call.err == nil && call.status >= 500 && call.hadNoFault() && call.wasAnswered(executions[call.id]):
 			c.fail("%s got status %d at %s though an endpoint had responded", call, call.status, call.host.name)
-		case call.err == nil && call.status >= 400 && call.status < 500 && !isProbe:
+		case call.err == nil && call.status >= 400 && call.status < 500 && !call.isProbe:
 			c.fail("%s got status %d at %s", call, call.status, call.host.name)
 		case call.err != nil && executed > 0 && call.hadNoFault():
 			c.fail("%s at %s, sent behind %d others, was executed %v after it was sent and its response lost after %v: %v", call, call.host.name, call.ahead, executions[call.id][0].begin.Sub(call.sentAt), call.latency, call.err)
