--- a/ingress/server.go
+++ b/ingress/server.go
@@ -109,6 +109,7 @@
 // Server serves the connections of clients.
 type Server struct {
 	config   Config
+	started  boottime.Time
 	splitter routeplan.Splitter
 	ages     ageEstimator
 
@@ -130,7 +131,7 @@
 	if config.Memory == nil {
 		config.Memory = heldmemory.NewAccount(math.MaxInt64, config.Clock)
 	}
-	return &Server{config: config, conns: map[*connection]struct{}{}}
+	return &Server{config: config, started: config.Clock(), conns: map[*connection]struct{}{}}
 }
 
 // Serve accepts connections until the listener is closed.
--- a/localendpoint/gate.go
+++ b/localendpoint/gate.go
@@ -93,8 +93,13 @@
 	started := g.clock()
 	x := &exchange{gate: g, endpoint: e, call: c, remaining: deadline - started}
 	var once sync.Once
+	isRunning := false
 	x.releaseSlot = func(r call.Result) {
 		once.Do(func() {
+			if isRunning {
+				// A response that is streamed ends here: until then the endpoint may make calls.
+				g.RunningCalls.remove(c.ID, r.Outcome == call.Answered)
+			}
 			g.finishAttempt(e, ticket, r, g.clock()-started)
 		})
 	}
@@ -103,9 +108,10 @@
 		x.releaseSlot(r)
 		return g.report(c, e, r, started-arrived, 0)
 	}
+	isRunning = true
 	g.RunningCalls.add(c.ID, Parent{Rank: c.Rank, ClassRank: c.ClassRank, Workspace: c.Workspace})
 	r := x.roundTrip(ctx)
-	nested := g.RunningCalls.remove(c.ID)
+	nested := g.RunningCalls.nestedResults(c.ID)
 	r.NestedFailed = nested.failed
 	if limitsNested && (nested.rejected || r.Outcome == call.Answered) {
 		g.NestedAdmission.Record(queued.Class, c.Workspace, nested.rejected, g.clock())
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -164,7 +164,7 @@
 	}
 	for name, k := range crowdKinds {
 		Convey("a crowd with "+name, t, func() {
-			c := newLimitedCluster(t.TempDir(), rand.New(rand.NewPCG(1, 0)), defaultHosts, hostLimits{memoryMB: crowdMemoryMB, descriptors: crowdDescriptors})
+			c := newLimitedCluster(t.TempDir(), rand.New(rand.NewPCG(1, 0)), defaultHosts, false, hostLimits{memoryMB: crowdMemoryMB, descriptors: crowdDescriptors})
 			defer c.close()
 			So(c.awaitServing(), ShouldBeTrue)
 			left := make(chan struct{})
