--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -25,16 +25,18 @@
 // model runs the states of some hosts with a bag of messages. Hosts notice lost links as
 // late as peers.Directory does, each at its own time.
 type model struct {
-	t        *rapid.T
-	random   *rand.Rand
-	now      boottime.Time
-	hosts    []*modelHost
-	links    map[[2]int]*modelLink
-	events   map[boottime.Time][]func()
-	limits   map[mesh.WorkspaceName]quota.Limit
-	pending  map[modelCall]pendingCall
-	executed map[mesh.WorkspaceName][]boottime.Time
-	rejected map[mesh.WorkspaceName]int
+	t       rapid.TB
+	random  *rand.Rand
+	now     boottime.Time
+	hosts   []*modelHost
+	links   map[[2]int]*modelLink
+	events  map[boottime.Time][]func()
+	limits  map[mesh.WorkspaceName]quota.Limit
+	pending map[modelCall]pendingCall
+	// refundDelay is the longest time between an admission and its refund.
+	refundDelay time.Duration
+	executed    map[mesh.WorkspaceName][]boottime.Time
+	rejected    map[mesh.WorkspaceName]int
 }
 
 type modelHost struct {
@@ -68,10 +70,10 @@
 
 func hostName(i int) mesh.HostID { return mesh.HostID(fmt.Sprint("host-", i)) }
 
-func newModel(t *rapid.T, hosts int, limits map[mesh.WorkspaceName]quota.Limit, seed uint64) *model {
+func newModel(t rapid.TB, hosts int, limits map[mesh.WorkspaceName]quota.Limit, seed uint64) *model {
 	m := &model{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, limits: limits, links: map[[2]int]*modelLink{}, events: map[boottime.Time][]func(){},
-		pending: map[modelCall]pendingCall{}, executed: map[mesh.WorkspaceName][]boottime.Time{}, rejected: map[mesh.WorkspaceName]int{},
+		pending: map[modelCall]pendingCall{}, executed: map[mesh.WorkspaceName][]boottime.Time{}, rejected: map[mesh.WorkspaceName]int{}, refundDelay: 500 * ms,
 	}
 	for i := range hosts {
 		m.hosts = append(m.hosts, &modelHost{index: i, limits: limits})
@@ -257,7 +259,7 @@
 	case !d.Admitted:
 		m.rejected[c.workspace]++
 	case c.refunded:
-		m.after(m.uniform(ms, 500*ms), func() { m.on(h, func() { h.state.Refund(c.workspace, m.now) }) })
+		m.after(m.uniform(ms, m.refundDelay), func() { m.on(h, func() { h.state.Refund(c.workspace, m.now) }) })
 	default:
 		m.executed[c.workspace] = append(m.executed[c.workspace], m.now)
 	}
@@ -373,10 +375,10 @@
 		pairs(m.cut)
 		m.after(d, func() { pairs(m.heal) })
 	case "pair":
-		if a, b := victims[0], (victims[0]+1)%len(m.hosts); a != b {
-			m.cut(a, b)
-			m.after(d, func() { m.heal(a, b) })
-		}
+		a := victims[0]
+		b := (a + 1 + m.random.IntN(len(m.hosts)-1)) % len(m.hosts)
+		m.cut(a, b)
+		m.after(d, func() { m.heal(a, b) })
 	case "slow":
 		for _, l := range m.links {
 			l.slow = m.now + d
@@ -406,25 +408,54 @@
 	}
 }
 
-// workload draws calls of workspaces, in phases in which some hosts get them.
-func (m *model) workload(w mesh.WorkspaceName, d time.Duration, refundPercent int) {
-	var hosts []int
-	load := 0.0
-	phaseEnd := boottime.Time(0)
-	end := m.now + d
+// phase is a time in which some hosts get calls at a multiple of the rate.
+type phase struct {
+	hosts []int
+	load  float64
+	lasts time.Duration
+}
+
+// phases returns what the callers of a workspace do by turns: at random, all at once
+// after the quota has filled up, or at one host after the other and then at all.
+func (m *model) phases(pattern string) func() phase {
+	n := 0
+	all := m.random.Perm(len(m.hosts))
+	return func() phase {
+		n++
+		switch pattern {
+		case "pulse":
+			return phase{all, float64(n%2) * 7, m.uniform(2*time.Second, 5*time.Second)}
+		case "rotate":
+			if n%40 > 30 {
+				return phase{all, 7, 200 * ms}
+			}
+			return phase{all[n/2%len(all) : n/2%len(all)+1], float64(n%2) * 7, m.uniform(20*ms, 120*ms) * time.Duration(1+3*(1-n%2))}
+		case "flood":
+			return phase{all, 7, time.Minute}
+		default:
+			load := []float64{0, 0.6, 1, 2, 7}[m.random.IntN(5)]
+			return phase{m.random.Perm(len(m.hosts))[:1+m.random.IntN(len(m.hosts))], load, m.uniform(300*ms, 4*time.Second)}
+		}
+	}
+}
+
+// workload makes the calls of a workspace.
+func (m *model) workload(w mesh.WorkspaceName, d time.Duration, pattern string, refundPercent int) {
+	next := m.phases(pattern)
+	var current phase
+	end, phaseEnd := m.now+d, m.now
 	var step func()
 	step = func() {
 		if m.now >= end {
 			return
 		}
 		if m.now >= phaseEnd {
-			hosts = m.random.Perm(len(m.hosts))[:1+m.random.IntN(len(m.hosts))]
-			load = []float64{0, 0.6, 1, 2, 7}[m.random.IntN(5)]
-			phaseEnd = m.now + m.uniform(300*ms, 4*time.Second)
+			current = next()
+			phaseEnd = m.now + current.lasts
 		}
-		calls := load * m.limits[w].CallsPerSecond * modelStep.Seconds()
+		calls := current.load * m.limits[w].CallsPerSecond * modelStep.Seconds()
 		for n := int(calls + m.random.Float64()); n > 0; n-- {
-			m.call(hosts[m.random.IntN(len(hosts))], w, m.random.IntN(100) < refundPercent)
+			m.call(current.hosts[m.random.IntN(len(current.hosts))], w, m.random.IntN(100) < refundPercent)
 		}
 		m.after(modelStep, step)
 	}
@@ -448,21 +479,22 @@
 	rapid.Check(t, func(t *rapid.T) {
 		large := rapid.SampledFrom([]float64{100, 650}).Draw(t, "rate")
 		before := map[mesh.WorkspaceName]quota.Limit{
-			"large": {CallsPerSecond: large, Burst: rapid.SampledFrom([]float64{0, large / 2, large}).Draw(t, "burst")},
+			"large": {CallsPerSecond: large, Burst: rapid.SampledFrom([]float64{0, large / 2, large, 3 * large}).Draw(t, "burst")},
 			"small": {CallsPerSecond: 4, Burst: 4},
 		}
 		hosts := rapid.IntRange(2, 9).Draw(t, "hosts")
 		m := newModel(t, hosts, before, rapid.Uint64().Draw(t, "seed"))
 		m.run(time.Duration(rapid.IntRange(0, 4).Draw(t, "calm")) * time.Second)
 		const duration = 16 * time.Second
-		refunds := rapid.SampledFrom([]int{0, 30}).Draw(t, "refunds")
-		m.workload("large", duration, refunds)
-		m.workload("small", duration, refunds)
+		refunds := rapid.SampledFrom([]int{0, 30, 90}).Draw(t, "refunds")
+		patterns := rapid.SampledFrom([]string{"random", "pulse", "rotate"})
+		m.workload("large", duration, patterns.Draw(t, "pattern"), refunds)
+		m.workload("small", duration, patterns.Draw(t, "pattern of small"), refunds)
 		for range rapid.IntRange(0, 8).Draw(t, "faults") {
 			kind := rapid.SampledFrom([]string{"kill", "power", "cut", "pair", "slow", "freeze"}).Draw(t, "kind")
 			n := rapid.SampledFrom([]int{1, 1, hosts / 3, hosts}).Draw(t, "victims")
 			at := time.Duration(rapid.IntRange(0, 11000).Draw(t, "at")) * ms
-			d := time.Duration(rapid.SampledFrom([]int{30, 500, 1000, 2000, 4000}).Draw(t, "for")) * ms
+			d := time.Duration(rapid.SampledFrom([]int{30, 500, 1000, 2000, 4000, 9000}).Draw(t, "for")) * ms
 			ofOwner := rapid.Bool().Draw(t, "owner")
 			m.after(at, func() {
 				victims := m.random.Perm(hosts)[:max(n, 1)]
