A success without the endpoint's stamp is a failed attempt

Change: the attempt is broken, with a reason of its own (answer_unstamped): an idempotent call may be tried elsewhere within the retry budget, others get 502 at once, and the endpoint's health counts a failure. Error statuses and responses to calls that were not executed need no stamp, as before. Stubs of endpoints in tests set a stamp now.

--- a/call/call.go
+++ b/call/call.go
@@ -118,6 +118,7 @@
 	ReasonHostCannotRead     = "host_cannot_read"
 	ReasonResponseTruncated  = "answer_truncated"
 	ReasonResponseMalformed  = "answer_malformed"
+	ReasonResponseUnstamped  = "answer_unstamped"
 	ReasonResponseTooLong    = "answer_too_long"
 	ReasonNoResponse         = "no_answer"
 	ReasonCancelled          = "caller_left"
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -493,6 +493,7 @@
 			var head strings.Builder
 			h := http.Header{}
 			platform.Headers{}.SetRequestID(h, requestID(r))
+			standin.SetStamp(h)
 			if err := h.Write(&head); err != nil {
 				panic(err)
 			}
--- a/localendpoint/exchange.go
+++ b/localendpoint/exchange.go
@@ -46,6 +46,7 @@
 var (
 	errNoResponse         = errors.New("localendpoint: received bytes are no HTTP response")
 	errUnrelatedResponses = errors.New("localendpoint: too many responses with the ID of another call")
+	errUnstamped          = errors.New("localendpoint: success without the endpoint's stamp")
 	errLastResponse       = errors.New("localendpoint: the response to another call ends the connection")
 )
 
@@ -297,6 +298,11 @@
 	if info.NotExecuted {
 		return x.finishDeclined(response)
 	}
+	if isSuccess(response.StatusCode) && !info.Stamped {
+		// The stamp shows that the endpoint made the response. Without it, it is not known
+		// what the endpoint did.
+		return x.fail(ctx, call.ReasonResponseUnstamped, errUnstamped)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes+1))
 	if err != nil {
 		return x.fail(ctx, call.ReasonResponseTruncated, err)
@@ -309,6 +315,10 @@
 	return call.Result{Outcome: call.Answered, Sent: true, Response: a}
 }
 
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // finishDeclined returns the result of a call that the endpoint did not execute. The head
 // states this, so that a failure to read the body only costs the connection.
 func (x *exchange) finishDeclined(response *http.Response) call.Result {
--- a/localendpoint/gate_test.go
+++ b/localendpoint/gate_test.go
@@ -38,7 +38,7 @@
 }
 
 func (stubHeaders) ReadResponse(status int, h http.Header) call.ResponseInfo {
-	return call.ResponseInfo{RequestID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != ""}
+	return call.ResponseInfo{RequestID: h.Get("Id"), NotExecuted: h.Get("Not-Run") != "", Stamped: h.Get("No-Stamp") == ""}
 }
 func (stubHeaders) SetRetryAfter(http.Header, time.Duration) {}
 func (stubHeaders) SetRequestID(http.Header, string)         {}
@@ -193,6 +193,7 @@
 		answer string
 		reason string
 	}{
+		"a success without a stamp":  {"HTTP/1.1 200 OK\r\nId: %s\r\nNo-Stamp: 1\r\nContent-Length: 2\r\n\r\nok", call.ReasonResponseUnstamped},
 		"a truncated body":           {"HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 10\r\n\r\nhalf", call.ReasonResponseTruncated},
 		"no response at all":         {"%.0s", call.ReasonNoResponse},
 		"a malformed response":       {"\x00\x01garbage %s\r\n\r\n", call.ReasonResponseMalformed},
