Roll-outs of a service's version: first working version

Change: package rollout decides which versions a call may go to, compares the answers of the target version with those of the earlier ones, and takes the steps of a roll-out. The host that reads the plan compares the orders in the same call of the store, decides, and writes the status under a condition on the order and the status. States pass between hosts in messages and in the first report on a link. Switched on by [bounds] exposure-share.

--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -37,6 +37,12 @@
 	eventDeparturesLearned = events.Define(2526, hclog.Info, "departures of endpoints learned", "None; an earlier process of the host acknowledged them. Late announcements of these endpoints are ignored.")
 	eventDepartureNotSaved = events.Define(2527, hclog.Warn, "departure acknowledged before the store has it", "Check the store. The node writes it again; until then only other hosts tell it to the next process of this host.")
 
+	eventRolloutChanged    = events.Define(2570, hclog.Info, "roll-out of a version changed", "None; the phase and the share say which calls may go to the target version.")
+	eventRolloutWithdrawn  = events.Define(2571, hclog.Warn, "version withdrawn", "None; no call goes to the target version. Event 2572 of the deciding host says why.")
+	eventRolloutVerdict    = events.Define(2572, hclog.Warn, "version judged to be bad", "Its answers failed or were slow more often than those of the earlier versions; look at its logs.")
+	eventRolloutMalformed  = events.Define(2573, hclog.Error, "order of a roll-out rejected", "Correct the order; the versions keep the calls that they have.")
+	eventRolloutNotWritten = events.Define(2574, hclog.Warn, "status of a roll-out not written", "Check the store. The node tries again; a withdrawal is in effect already, a completion is not.")
+
 	eventCallFinished  = events.Define(2530, hclog.Info, "call finished", "None.")
 	eventCallFailed    = events.Define(2531, hclog.Warn, "call failed", "The reason, the host of the last attempt and the gate's log line with the same ID lead to the cause; see docs/OPERATIONS.md.")
 	eventAttemptFailed = events.Define(2532, hclog.Warn, "attempt at the local endpoint failed", "The load, the slots and the time in the queue explain a rejection; broken attempts point to the endpoint.")
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -41,6 +42,8 @@
 	// client sends announcements and calls.
 	client *http.Client
 	logger hclog.Logger
+	// rolloutShare is the setting for roll-outs, empty for none.
+	rolloutShare string
 }
 
 type fixtureHost struct {
@@ -66,6 +69,8 @@
 	respond atomic.Pointer[http.HandlerFunc]
 	// isLeaving makes the endpoint state in its responses that it leaves.
 	isLeaving atomic.Bool
+	// version is the software version of the endpoint, empty for v1.
+	version string
 	// arrivals are the times at which calls reached the endpoint.
 	arrivals []time.Time
 }
@@ -180,6 +185,9 @@
 func (h *fixtureHost) writeSettings(service string) {
 	text := fmt.Sprintf(settingsText, h.name, service, h.address["endpoint"], h.address["calls"], h.address["peers"],
 		h.address["ready"], h.address["announcements"], h.address["metrics"], h.fixture.store.Address())
+	if h.fixture.rolloutShare != "" {
+		text += "exposure-share = " + h.fixture.rolloutShare + "\n"
+	}
 	if err := os.WriteFile(h.path(), []byte(text), 0o600); err != nil {
 		panic(err)
 	}
@@ -237,7 +245,8 @@
 // announce sends a heartbeat of the endpoint beside the host.
 func (h *fixtureHost) announce(service, state string) int {
 	h.sequence++
-	path, body := standin.Heartbeat("i-"+h.name, h.address["endpoint"], service, "d", state, h.sequence)
+	version := cmp.Or(h.version, "v1")
+	path, body := standin.HeartbeatOfVersion("i-"+h.name, standin.EndpointStart, h.address["endpoint"], service, version, "d", state, h.sequence)
 	return post(h.fixture.client, "http://"+h.address["announcements"]+path, body)
 }
 
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -75,9 +75,11 @@
 	registrar    *registrar
 	registration *localendpoint.Registration
 	directory    *peers.Directory
-	forwarder    *ingress.Forwarder
-	ingress      *ingress.Server
-	metrics      *metrics.Registry
+	// rollouts is nil where no versions are rolled out.
+	rollouts  *rolloutKeeper
+	forwarder *ingress.Forwarder
+	ingress   *ingress.Server
+	metrics   *metrics.Registry
 
 	stopping      atomic.Bool
 	hostsListedAt atomic.Int64
@@ -140,7 +142,7 @@
 	buffers := call.NewBuffers(int64(s.ResponseBufferMB) << 20)
 	gate := localendpoint.NewGate(n.registration, platform.Headers{}, clock, observer, buffers)
 	record := peers.Record{Host: s.Host, Address: s.Listen.PeersAdvertised, FailureDomain: s.FailureDomain, Incarnation: n.started.UnixNano(), LinkMbps: s.LinkMbps}
-	n.directory = peers.New(peers.Config{
+	directoryConfig := peers.Config{
 		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate,
 		LocalStatus: n.statusReport, PlanDelta: n.planKeeper.deltaFrom, OnPlan: n.planKeeper.activateDelta,
 		OnPlanReport: n.planKeeper.recordReport,
@@ -148,7 +150,18 @@
 			n.registration.ExpectRate(localendpoint.ExpectedRate{ID: e.ID, CallsPerSecond: e.CallsPerSecond})
 		},
 		OnReceiverDeparted: func(known departures.List, from mesh.HostID) { n.learnDepartures(known, string(from)) },
-	})
+	}
+	if s.Rollout != nil {
+		n.rollouts = newRolloutKeeper(n, *s.Rollout, s.PlanDeadline)
+		n.planKeeper.rollouts = n.rollouts
+		gate.OnResult = n.rollouts.observe
+		directoryConfig.Handlers = map[transport.Kind]func(mesh.HostID, transport.Message) error{transport.KindRolloutState: n.rollouts.handle}
+		directoryConfig.LocalRollouts, directoryConfig.OnRollouts = n.rollouts.introduction, n.rollouts.record
+		if err := n.rollouts.register(registry.Meter()); err != nil {
+			return nil, err
+		}
+	}
+	n.directory = peers.New(directoryConfig)
 	if err := observeLinks(registry.Meter(), n.directory.LocalTraffic, n.directory.RemoteTraffic); err != nil {
 		return nil, err
 	}
@@ -163,6 +176,10 @@
 		Sizes:       responsesize.New(), Buffers: buffers, RemoteByteCost: s.RemoteCostPerKB / 1024,
 		OnHedge: observer.hedged,
 	}
+	if n.rollouts != nil {
+		n.rollouts.directory = n.directory
+		n.forwarder.Versions = n.rollouts.table
+	}
 	n.ingress = ingress.New(ingress.Config{
 		Plan: &n.plan, Headers: platform.Headers{}, Clock: clock, Observer: observer, Forwarder: n.forwarder,
 		LocalService: func() mesh.ServiceName { return n.settings.Load().Endpoint.Service },
@@ -199,6 +216,9 @@
 			MeanServiceTime: e.Queue.MeanServiceTime(now), FailurePercent: int(100 * e.Health.FailureRatio()), Cold: e.ColdUntil > now,
 			CallsPerSecond: e.Queue.StartsPerSecond(), StartedAtMs: e.StartedAtMs, Classes: classStatuses(e.Queue.ClassServiceTimes(now)),
 		}
+		if n.rollouts != nil {
+			s.Endpoint.Software = e.Software
+		}
 	}
 	return s
 }
@@ -265,6 +285,9 @@
 	}()
 	go n.planKeeper.run(ctx)
 	go n.registrar.run(ctx)
+	if n.rollouts != nil {
+		go n.rollouts.run(ctx)
+	}
 	go func() {
 		defer close(n.linksClosed)
 		n.directory.Run(ctx)
--- a/hostnode/observe.go
+++ b/hostnode/observe.go
@@ -84,6 +84,44 @@
 	}
 }
 
+// register registers the metrics of roll-outs.
+func (k *rolloutKeeper) register(meter metric.Meter) error {
+	var errs [4]error
+	_, errs[0] = meter.Int64ObservableGauge("host_rollout_phase", metric.WithDescription("phase of the roll-out of a service: 1 verifying, 2 shifting, 3 completed, 4 rolled back"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for _, s := range k.table.States() {
+				o.Observe(int64(s.Phase), metric.WithAttributes(attribute.String("service", string(s.Service)), attribute.String("target", s.Target)))
+			}
+			return nil
+		}))
+	_, errs[1] = meter.Float64ObservableGauge("host_rollout_share", metric.WithDescription("share of the calls of a service that go to the target version first"),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			for _, s := range k.table.States() {
+				o.Observe(s.Share, metric.WithAttributes(attribute.String("service", string(s.Service)), attribute.String("target", s.Target)))
+			}
+			return nil
+		}))
+	_, errs[2] = meter.Int64ObservableCounter("host_rollout_calls", metric.WithDescription("calls of this host to a service that is or was rolled out, and those of them that tried the target version first"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for _, s := range k.table.States() {
+				u, service := k.table.Usage(s.Service), attribute.String("service", string(s.Service))
+				o.Observe(u.Sent, metric.WithAttributes(service, attribute.String("calls", "sent")))
+				o.Observe(u.Exposed, metric.WithAttributes(service, attribute.String("calls", "target_first")))
+			}
+			return nil
+		}))
+	_, errs[3] = meter.Int64ObservableCounter("host_rollout_answers", metric.WithDescription("answers of the endpoint of the host by its software version; bad ones failed or were several times slower than usual"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			if e := k.registration.Current(); e != nil {
+				all, software := k.tally.All(), attribute.String("software", e.Software)
+				o.Observe(int64(all.Total-all.Bad), metric.WithAttributes(software, attribute.String("answers", "good")))
+				o.Observe(int64(all.Bad), metric.WithAttributes(software, attribute.String("answers", "bad")))
+			}
+			return nil
+		}))
+	return errors.Join(errs[:]...)
+}
+
 // counterCallback returns the option that reads a counter which is kept elsewhere.
 func counterCallback(value func() int64) metric.Int64ObservableCounterOption {
 	return metric.WithInt64Callback(func(_ context.Context, counter metric.Int64Observer) error {
--- a/hostnode/plan.go
+++ b/hostnode/plan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,8 @@
 	// peersHeard reports whether the other hosts have had time to report a newer plan to
 	// this host since its start.
 	peersHeard func() bool
+	// rollouts gets the operator's orders, which are read with the plan; nil reads none.
+	rollouts *rolloutKeeper
 	// first is the plan of the store that a host without a plan activates once it has
 	// heard its peers: a store that was restored from a copy may have an older plan than
 	// they have. Only run uses it.
@@ -84,6 +87,9 @@
 	changed bool
 	began   boottime.Time
 	err     error
+	// orders are the orders of roll-outs, and ordersChanged says whether they have values.
+	orders        []platform.Item
+	ordersChanged bool
 }
 
 // storeMonitor logs when the store becomes unavailable for one use and when it
@@ -251,7 +257,17 @@
 	defer cancel()
 	r := planRead{began: k.clock()}
 	k.readBegan.Store(int64(r.began))
-	r.item, r.changed, r.err = k.store.ReadIfChanged(ctx, platform.ConfigKey, known)
+	keys := append([]platform.Known{{Key: platform.ConfigKey, Revision: known}}, k.rollouts.orderKeys(k.current.Load())...)
+	for part := range slices.Chunk(keys, platform.MaxKnown) {
+		items, changed, err := k.store.ReadAnyChanged(ctx, part)
+		if r.err = err; err != nil {
+			break
+		}
+		r.orders, r.ordersChanged = append(r.orders, items...), r.ordersChanged || changed
+		if part[0].Key == platform.ConfigKey {
+			r.item, r.changed = items[0], changed && items[0].Revision != known
+		}
+	}
 	k.readBegan.Store(0)
 	k.monitor.observe(k.clock()-r.began, r.err)
 	return r
@@ -264,6 +280,7 @@
 		return
 	}
 	k.lastRead = r.item.Revision
+	k.rollouts.recordRead(r.orders[1:], r.ordersChanged, r.began)
 	exists := r.item.Revision.Number != 0
 	if k.activeVersion() == 0 {
 		if r.changed && exists {
--- a/hostnode/settings.go
+++ b/hostnode/settings.go
@@ -12,6 +12,7 @@
 	"geraniumnotch.example/geraniumnotch/localendpoint"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/retrybudget"
+	"geraniumnotch.example/geraniumnotch/rollout"
 )
 
 // Settings of a node beside an endpoint on the platform.
@@ -36,6 +37,8 @@
 	// RemoteCostPerKB is the cost of 1 KiB between failure domains, as a fraction of the
 	// value of a call.
 	RemoteCostPerKB float64
+	// Rollout bounds how new versions of services are brought in; nil if they are not.
+	Rollout *rollout.Bounds
 }
 
 // Listen holds the addresses that the node listens on.
@@ -109,6 +112,12 @@
 	if p.values["placement.remote-cost-per-kb"].Text != "" {
 		s.RemoteCostPerKB = p.fraction("placement", "remote-cost-per-kb")
 	}
+	if p.values["bounds.exposure-share"].Text != "" {
+		s.Rollout = &rollout.Bounds{Share: p.fraction("bounds", "exposure-share")}
+		if s.Rollout.Share > 1 {
+			p.addProblem("bounds", "exposure-share", "a number from 0 to 1")
+		}
+	}
 	s.Listen.PeersAdvertised = s.Listen.Peers
 	if p.values["listen.peers-advertised"].Text != "" {
 		s.Listen.PeersAdvertised = p.address("listen", "peers-advertised")
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -15,6 +15,7 @@
 	"geraniumnotch.example/geraniumnotch/placement"
 	"geraniumnotch.example/geraniumnotch/responsesize"
 	"geraniumnotch.example/geraniumnotch/retrybudget"
+	"geraniumnotch.example/geraniumnotch/rollout"
 	"geraniumnotch.example/geraniumnotch/routeplan"
 	"geraniumnotch.example/geraniumnotch/slotqueue"
 )
@@ -51,6 +52,9 @@
 	// RemoteByteCost is the cost of a byte between failure domains, as a fraction of the
 	// value of a call.
 	RemoteByteCost float64
+	// Versions says which software versions of a service calls may go to while a new one is
+	// brought in; nil allows all.
+	Versions *rollout.Table
 
 	// OnHedge is called for each second attempt of a call while the first has no answer;
 	// nil ignores it.
@@ -97,6 +101,10 @@
 	broken   call.Result
 	fallback *call.Response
 	lastHost mesh.HostID
+	// versions says which endpoints the call may go to, nil for all. versionUnavailable is
+	// set when the version that it was to try first has no endpoint.
+	versions           *rollout.Choice
+	versionUnavailable bool
 }
 
 // Forward makes attempts until the call has a response, must not be retried, or
@@ -107,6 +115,10 @@
 	s := &callState{forwarder: f, c: c, route: route, deadline: now + c.Remaining, targetBy: now + c.TargetRemaining}
 	ctx, cancel := context.WithTimeout(ctx, c.Remaining+responseGrace)
 	f.RetryBudget.Deposit(c.Service)
+	if f.Versions != nil {
+		s.versions = f.Versions.Choose(c.Service)
+		defer func() { s.versions.Done(s.sentAttempts > 0, s.versionUnavailable) }()
+	}
 	for {
 		r, retry := s.attempt(ctx)
 		if retry {
@@ -256,12 +268,21 @@
 func (s *callState) chooseDestination() (destination, bool) {
 	candidates, destinations := s.candidates()
 	i := placement.Choose(candidates, s.placementCall(), rand.Float64)
+	if i < 0 && s.versions.TriesVersion() && len(s.excluded) == 0 && !s.versionUnavailable {
+		s.versionUnavailable = true
+		return s.chooseDestination()
+	}
 	if i < 0 {
 		return destination{}, false
 	}
 	return destinations[i], true
 }
 
+// allows reports whether the call may go to an endpoint of a software version.
+func (s *callState) allows(software string, endpoint mesh.EndpointID) bool {
+	return s.versions == nil || s.versions.Allows(software, endpoint, len(s.excluded) == 0 && !s.versionUnavailable)
+}
+
 func (s *callState) placementCall() placement.Call {
 	return placement.Call{
 		TargetRemaining: s.c.TargetRemaining, RemoteByteCost: s.forwarder.RemoteByteCost,
@@ -282,7 +303,7 @@
 	}
 	for _, p := range remotes {
 		e := p.Endpoint()
-		if e == nil || p.IsLeaving(e) {
+		if e == nil || p.IsLeaving(e) || !s.allows(e.Software, e.ID) {
 			continue
 		}
 		add(placement.Candidate{
@@ -291,7 +312,7 @@
 			Cold: e.Cold, Stale: p.Stale(), Excluded: s.excluded[p.Host()],
 		}, destination{host: p.Host(), runner: p, markLeaving: func() { p.MarkLeaving(e) }})
 	}
-	if e := s.forwarder.Registration.Current(); e != nil && !e.Draining && e.Service == s.c.Service {
+	if e := s.forwarder.Registration.Current(); e != nil && !e.Draining && e.Service == s.c.Service && s.allows(e.Software, e.ID) {
 		load := e.Queue.Load()
 		now := s.forwarder.Clock()
 		add(placement.Candidate{
--- a/localendpoint/gate.go
+++ b/localendpoint/gate.go
@@ -44,8 +44,22 @@
 	buffers      *call.Buffers
 	// RunningCalls tracks the calls that the endpoint is executing.
 	RunningCalls *RunningCalls
+	// OnResult is called with each call that the endpoint has received, whether it failed,
+	// and its service time; nil ignores it. It must not block.
+	OnResult func(e *Endpoint, class slotqueue.Class, r Result, took time.Duration)
 }
 
+// Result is how a call ended that the endpoint has received.
+type Result uint8
+
+// Results of calls.
+const (
+	Succeeded Result = iota + 1
+	Failed
+	// GivenUp means that the caller did not wait for the answer.
+	GivenUp
+)
+
 // NewGate returns a gate for the registered endpoint. Long responses are read into the
 // buffers while these have room.
 func NewGate(registration *Registration, headers call.Headers, clock boottime.Clock, observer Observer, buffers *call.Buffers) *Gate {
@@ -88,7 +102,7 @@
 	var once sync.Once
 	x.releaseSlot = func(r call.Result) {
 		once.Do(func() {
-			g.finishAttempt(e, ticket, r, g.clock()-started)
+			g.finishAttempt(e, ticket, r, queued.Class, g.clock()-started)
 		})
 	}
 	if reason := x.rejectionReason(ctx); reason != "" {
@@ -165,8 +179,11 @@
 
 // finishAttempt releases the slot and records the result in the endpoint's health.
 // The service time is recorded for successful responses only.
-func (g *Gate) finishAttempt(e *Endpoint, ticket *slotqueue.Ticket, r call.Result, elapsed time.Duration) {
+func (g *Gate) finishAttempt(e *Endpoint, ticket *slotqueue.Ticket, r call.Result, class slotqueue.Class, elapsed time.Duration) {
 	serviceTime := time.Duration(0)
+	if result := resultOf(r); result != 0 && g.OnResult != nil {
+		g.OnResult(e, class, result, elapsed)
+	}
 	switch {
 	case r.Outcome == call.Answered:
 		failed := r.Response != nil && r.Response.Status >= http.StatusInternalServerError
@@ -187,6 +204,23 @@
 	e.Queue.Release(ticket, serviceTime, g.clock())
 }
 
+// resultOf returns how a call ended, 0 if the endpoint has not executed it or a nested call
+// of it failed.
+func resultOf(r call.Result) Result {
+	failed := r.Response != nil && r.Response.Status >= http.StatusInternalServerError
+	switch {
+	case r.Outcome == call.Answered && !failed:
+		return Succeeded
+	case r.Outcome == call.Answered && !r.NestedFailed:
+		return Failed
+	case r.Outcome == call.Answered || r.Outcome == call.Rejected || !r.Sent:
+		return 0
+	case r.Reason == call.ReasonCancelled || r.Outcome == call.Expired:
+		return GivenUp
+	}
+	return Failed
+}
+
 // recordState applies what the endpoint says of itself in a response: that it leaves, and
 // the rate of calls that it takes.
 func (g *Gate) recordState(e *Endpoint, info call.ResponseInfo) {
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -17,6 +17,7 @@
 	"geraniumnotch.example/geraniumnotch/events"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/plansync"
+	"geraniumnotch.example/geraniumnotch/rollout"
 	"geraniumnotch.example/geraniumnotch/routeplan"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
@@ -86,6 +87,10 @@
 	// OnReceiverDeparted is called with the first report on each link, and the endpoints of
 	// this host that have left as the peer knows it; nil ignores them.
 	OnReceiverDeparted func(known departures.List, from mesh.HostID)
+	// LocalRollouts returns what this host knows of the versions of services, nil for
+	// nothing, and OnRollouts is called with what a peer knows; both may be nil.
+	LocalRollouts func() *rollout.Message
+	OnRollouts    func(m *rollout.Message, from mesh.HostID)
 	// Handlers handle the messages of other packages, by kind. They must not block. An
 	// error is logged and costs the message only.
 	Handlers map[transport.Kind]func(from mesh.HostID, m transport.Message) error
@@ -379,6 +384,33 @@
 	return l.Send(kind, body)
 }
 
+// Reachable returns the hosts that Send can reach.
+func (d *Directory) Reachable() []mesh.HostID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var hosts []mesh.HostID
+	for l, state := range d.links {
+		if p := d.peers[l.Peer()]; p != nil && state.knowsWorkspaces && p.mux.Load() == state.mux {
+			hosts = append(hosts, l.Peer())
+		}
+	}
+	return hosts
+}
+
+// Endpoints returns the endpoints of the reachable hosts by their latest status, but for
+// those that leave.
+func (d *Directory) Endpoints() []*EndpointStatus {
+	var endpoints []*EndpointStatus
+	for _, hosts := range *d.byService.Load() {
+		for _, p := range hosts {
+			if e := p.Endpoint(); e != nil && !p.IsLeaving(e) {
+				endpoints = append(endpoints, e)
+			}
+		}
+	}
+	return endpoints
+}
+
 // errStatusDelta means that a delta has no base or numbers that no host has.
 var errStatusDelta = errors.New("peers: malformed status delta")
 
@@ -416,6 +448,9 @@
 	if s.LimitedEndpoint != nil && d.config.OnLimitedEndpoint != nil {
 		d.config.OnLimitedEndpoint(*s.LimitedEndpoint)
 	}
+	if s.Record != nil && s.Rollouts != nil && d.config.OnRollouts != nil {
+		d.config.OnRollouts(s.Rollouts, l.Peer())
+	}
 	if s.Record != nil && d.config.OnReceiverDeparted != nil {
 		d.config.OnReceiverDeparted(s.ReceiverDeparted.Latest(departures.MaxShared), l.Peer())
 	}
--- a/peers/links.go
+++ b/peers/links.go
@@ -92,6 +92,9 @@
 	status := d.config.LocalStatus()
 	status.Record, status.LimitedEndpoint, status.Protocol = &d.config.Self, limited, currentProtocol
 	status.ReceiverDeparted = departed
+	if d.config.LocalRollouts != nil {
+		status.Rollouts = d.config.LocalRollouts()
+	}
 	_ = l.Send(transport.KindHostStatus, status) // The queue of a new link has room.
 	eventPeerUp.Log(d.config.Logger, "host", l.Peer())
 }
--- a/peers/statusdelta.go
+++ b/peers/statusdelta.go
@@ -64,7 +64,7 @@
 // apply returns the status that results from a whole report and the delta.
 func (d *statusDelta) apply(base *Status) Status {
 	s := *base
-	s.Record, s.LimitedEndpoint, s.ReceiverDeparted = nil, nil, nil
+	s.Record, s.LimitedEndpoint, s.ReceiverDeparted, s.Rollouts = nil, nil, nil, nil
 	s.SentAt = boottime.Time(d.SentAtMs) * boottime.Time(time.Millisecond)
 	s.PlanVersion = d.PlanVersion
 	s.PlanRead.Number = d.ReadNumber
@@ -91,7 +91,7 @@
 	}
 	e, b := s.Endpoint, base.Endpoint
 	return e == nil || e.ID == b.ID && e.Service == b.Service && e.Slots == b.Slots && e.Cold == b.Cold &&
-		e.CallsPerSecond == b.CallsPerSecond && e.StartedAtMs == b.StartedAtMs
+		e.CallsPerSecond == b.CallsPerSecond && e.StartedAtMs == b.StartedAtMs && e.Software == b.Software
 }
 
 // reportsClasses reports whether the service times of classes must be sent again, since
--- a/peers/types.go
+++ b/peers/types.go
@@ -13,6 +13,7 @@
 	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/plansync"
+	"geraniumnotch.example/geraniumnotch/rollout"
 	"geraniumnotch.example/geraniumnotch/routeplan"
 	"geraniumnotch.example/geraniumnotch/slotqueue"
 )
@@ -68,6 +69,8 @@
 	StartedAtMs int64 `cbor:"10,keyasint,omitempty"`
 	// Classes holds the known mean service times of classes of calls.
 	Classes []ClassStatus `cbor:"11,keyasint,omitempty"`
+	// Software is the version of the endpoint, empty where no versions are rolled out.
+	Software string `cbor:"12,keyasint,omitempty"`
 }
 
 // ClassStatus is the mean service time of the calls of one class at an endpoint.
@@ -126,6 +129,10 @@
 	// sender knows it. It is set only in the first report on a link: the receiver may have
 	// restarted.
 	ReceiverDeparted departures.List `cbor:"12,keyasint,omitempty"`
+	// Rollouts is what the sender knows of the versions of services. It is set only in the
+	// first report on a link: a receiver that has restarted knows it before it knows the
+	// endpoint of the sender.
+	Rollouts *rollout.Message `cbor:"13,keyasint,omitempty"`
 }
 
 // protocolReceipts is the version from which hosts read status deltas, confirm the calls
