--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -37,6 +37,12 @@
 	eventDeparturesLearned = events.Define(2526, hclog.Info, "departures of endpoints learned", "None; an earlier process of the host acknowledged them. Late announcements of these endpoints are ignored.")
 	eventDepartureNotSaved = events.Define(2527, hclog.Warn, "departure acknowledged before the store has it", "Check the store. The node writes it again; until then only other hosts tell it to the next process of this host.")
 
+	eventRolloutChanged    = events.Define(2570, hclog.Info, "roll-out of a version changed", "None; the phase and the share say which calls may go to the target version.")
+	eventRolloutWithdrawn  = events.Define(2571, hclog.Warn, "version withdrawn", "None; no call goes to the target version. Event 2572 of the deciding host says why.")
+	eventRolloutVerdict    = events.Define(2572, hclog.Warn, "version judged to be bad", "Its answers failed or were slow more often than those of the earlier versions; look at its logs.")
+	eventRolloutMalformed  = events.Define(2573, hclog.Error, "order of a roll-out rejected", "Correct the order; the versions keep the calls that they have.")
+	eventRolloutNotWritten = events.Define(2574, hclog.Warn, "status of a roll-out not written", "Check the store. The node tries again; a withdrawal is in effect already, a completion is not.")
+
 	eventClientLimits = events.Define(2590, hclog.Warn, "clients met the limits on memory or connections", "Find out who sends unfinished requests. Bodies without progress give way, further ones are refused; ordinary clients that meet the limits need more memory-mb or max-descriptors.")
 
 	eventCallFinished  = events.Define(2530, hclog.Info, "call finished", "None.")
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -84,6 +84,8 @@
 	bodyMemory   *heldmemory.Account
 	// quotas is nil if the settings state no bound on quotas.
 	quotas *quota.Service
+	// rollouts is nil where no versions are rolled out.
+	rollouts *rolloutKeeper
 
 	stopping      atomic.Bool
 	hostsListedAt atomic.Int64
@@ -155,7 +157,7 @@
 	if n.quotas != nil {
 		maps.Copy(handlers, n.quotas.Handlers())
 	}
-	n.directory = peers.New(peers.Config{
+	directoryConfig := peers.Config{
 		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate, BodyMemory: n.bodyMemory,
 		Handlers:    handlers,
 		LocalStatus: n.statusReport, PlanDelta: n.planKeeper.deltaFrom, OnPlan: n.planKeeper.activateDelta,
@@ -164,12 +166,23 @@
 			n.registration.ExpectRate(localendpoint.ExpectedRate{ID: e.ID, CallsPerSecond: e.CallsPerSecond})
 		},
 		OnReceiverDeparted: func(known departures.List, from mesh.HostID) { n.learnDepartures(known, string(from)) },
-	})
+	}
 	if n.quotas != nil {
 		if err := observeQuotas(registry.Meter(), n.quotas.Stats); err != nil {
 			return nil, err
 		}
 	}
+	if s.Rollout != nil {
+		n.rollouts = newRolloutKeeper(n, *s.Rollout, s.PlanDeadline)
+		n.planKeeper.rollouts = n.rollouts
+		gate.OnResult = n.rollouts.observe
+		handlers[transport.KindRolloutState] = n.rollouts.handle
+		directoryConfig.LocalRollouts, directoryConfig.OnRollouts = n.rollouts.introduction, n.rollouts.record
+		if err := n.rollouts.register(registry.Meter()); err != nil {
+			return nil, err
+		}
+	}
+	n.directory = peers.New(directoryConfig)
 	if err := observeLinks(registry.Meter(), n.directory.LocalTraffic, n.directory.RemoteTraffic); err != nil {
 		return nil, err
 	}
@@ -187,6 +200,10 @@
 		Sizes:       responsesize.New(), Buffers: buffers, RemoteByteCost: s.RemoteCostPerKB / 1024,
 		OnHedge: observer.hedged,
 	}
+	if n.rollouts != nil {
+		n.rollouts.directory = n.directory
+		n.forwarder.Versions = n.rollouts.table
+	}
 	config := ingress.Config{
 		Plan: &n.plan, Headers: platform.Headers{}, Keys: platform.Headers{}, Clock: clock, Observer: observer, Forwarder: n.forwarder,
 		LocalService: func() mesh.ServiceName { return n.settings.Load().Endpoint.Service },
@@ -236,6 +253,9 @@
 			MeanServiceTime: e.Queue.MeanServiceTime(now), FailurePercent: int(100 * e.Health.FailureRatio()), Cold: e.ColdUntil > now,
 			CallsPerSecond: e.Queue.StartsPerSecond(), StartedAtMs: e.StartedAtMs, Classes: classStatuses(e.Queue.ClassServiceTimes(now)),
 		}
+		if n.rollouts != nil {
+			s.Endpoint.Software = e.Software
+		}
 	}
 	return s
 }
@@ -305,6 +325,9 @@
 		go n.quotas.Run(ctx)
 	}
 	go n.registrar.run(ctx)
+	if n.rollouts != nil {
+		go n.rollouts.run(ctx)
+	}
 	go func() {
 		defer close(n.linksClosed)
 		n.directory.Run(ctx)
