Order and admit long responses on the host's link

Cause: responses of about 90 kB leave hosts with links of 12 to 17 Mbit/s through 64 KB windows for each response, so seconds of them wait in the queues below, and answers that other calls wait for leave behind them. Nothing decided whether a response could still leave in time. Change: package hostlink. Chunks of long responses to other hosts wait for one pacer a host, which lets them go at a rate below the link's by need (nested, within target, rank, target; a tenth for the least urgent). Short frames never wait, but count. Before the gate offers a call of another host with a long response to the queue, its response is reserved; one that would miss its target only for the responses before it is rejected with link_full and a retry-after. The rate falls to what credits show and recovers. On while the plan has a route of kind download and link-mbps is set; off otherwise, with the same bytes.

--- a/call/call.go
+++ b/call/call.go
@@ -47,6 +47,9 @@
 	BodyBytes int64
 	// Body is nil when there is none.
 	Body Body
+	// Transfer is set for a call of another host whose response leaves by this host's link,
+	// while long responses are ordered there.
+	Transfer Transfer
 	// OnSilence is called when the host that the call was sent to does not confirm its
 	// arrival, which may have been lost; nil ignores it. It must not block.
 	OnSilence func()
@@ -75,6 +78,14 @@
 	Fetch(ctx context.Context) (Body, error)
 }
 
+// Transfer is the place of a response on the link by which it leaves this host.
+type Transfer interface {
+	// Reserve decides whether a long response of the expected length, 0 when unknown, that
+	// will be ready after readyIn can leave in time. If not, the call must not be executed,
+	// and retryAfter is when the link is expected to have room.
+	Reserve(expectedBytes int64, readyIn time.Duration) (retryAfter time.Duration, fits bool)
+}
+
 // Load is the number of calls that execute and that wait at a gate.
 type Load struct {
 	Running int
--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -12,6 +12,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/hostlink"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
 
@@ -22,6 +23,8 @@
 	clock boottime.Clock
 	// bodyLimiter limits the request bodies that peers send.
 	bodyLimiter *BodyLimiter
+	// hostLink orders the long responses to peers; nil orders nothing.
+	hostLink *hostlink.Link
 
 	// confirms is set when the peer confirms the calls that it receives and holds those of
 	// KindCallHeld until they are released.
@@ -74,6 +77,8 @@
 	body   *pipe
 	window *sendWindow
 	permit permit
+	// transfer is nil while long responses are not ordered.
+	transfer *hostlink.Transfer
 	// released is closed when a held call may be executed; nil for other calls.
 	released    chan struct{}
 	releaseOnce sync.Once
@@ -93,6 +98,10 @@
 // SetReadsByteStrings records that the peer reads strings that are not UTF-8.
 func (m *Mux) SetReadsByteStrings() { m.readsByteStrings.Store(true) }
 
+// SetHostLink sets the link by which the responses leave. It must be set before the first
+// call.
+func (m *Mux) SetHostLink(l *hostlink.Link) { m.hostLink = l }
+
 // SetOnSilence sets the function that is called when the peer does not confirm a call and
 // sends nothing else. It must be set before the first call.
 func (m *Mux) SetOnSilence(f func()) { m.onSilence = f }
@@ -152,7 +161,7 @@
 		return call.Result{Outcome: call.Rejected, Reason: call.ReasonNoLink}
 	}
 	if rest != nil {
-		go copyBody(rest, o.window, func(data []byte, end, broken bool) error {
+		go copyBody(rest, o.window, chunkBytes, func(data []byte, end, broken bool) error {
 			o.unsent.Add(-int64(len(data)))
 			return m.send(transport.KindCallData, dataFrame{Stream: id, Data: data, End: end, Broken: broken})
 		})
@@ -362,6 +371,11 @@
 	c.TargetRemaining -= delay
 	ctx, cancel := context.WithCancel(context.Background())
 	in := &incoming{cancel: cancel, window: newSendWindow(windowBytes), permit: permit{limiter: m.bodyLimiter}}
+	now := m.clock()
+	in.transfer = m.hostLink.NewTransfer(hostlink.Need{Nested: f.Nested, Rank: f.Rank, TargetBy: now + c.TargetRemaining, DeadlineBy: now + c.Remaining})
+	if in.transfer != nil {
+		c.Transfer = in.transfer
+	}
 	if msg.Kind == transport.KindCallHeld {
 		in.released = make(chan struct{})
 	}
@@ -405,6 +419,7 @@
 // serve executes a call of the peer and sends its result.
 func (m *Mux) serve(ctx context.Context, stream uint64, in *incoming, c *call.Call) {
 	defer m.removeIncoming(stream, in)
+	defer in.transfer.Close()
 	if !in.awaitRelease(ctx, c) {
 		return
 	}
@@ -436,7 +451,15 @@
 	if err := m.sendResult(transport.KindResponseHead, head); err != nil || !more {
 		return
 	}
-	copyBody(rest, in.window, func(data []byte, end, broken bool) error {
+	limit := chunkBytes
+	if in.transfer != nil {
+		in.transfer.Begin(a.BodyBytes)
+		limit = hostlink.ChunkBytes
+	}
+	copyBody(rest, in.window, limit, func(data []byte, end, broken bool) error {
+		if !in.transfer.Wait(ctx.Done(), len(data)) {
+			return ErrBodyIncomplete
+		}
 		return m.sendResult(transport.KindResponseData, dataFrame{Stream: stream, Data: data, End: end, Broken: broken})
 	})
 }
@@ -505,6 +528,7 @@
 	}
 	if in := m.incoming[f.Stream]; in != nil {
 		in.window.add(f.Bytes)
+		in.transfer.Credited(f.Bytes)
 	}
 	return nil
 }
--- a/callmux/pipe.go
+++ b/callmux/pipe.go
@@ -122,10 +122,11 @@
 	return n
 }
 
-// copyBody sends a body in chunks until it ends or the window is closed.
-func copyBody(r io.Reader, window *sendWindow, send func(data []byte, end, broken bool) error) {
+// copyBody sends a body in chunks of up to limit bytes until it ends or the window is
+// closed.
+func copyBody(r io.Reader, window *sendWindow, limit int, send func(data []byte, end, broken bool) error) {
 	for {
-		n := window.reserve(chunkBytes)
+		n := window.reserve(limit)
 		if n == 0 {
 			return
 		}
--- /dev/null
+++ b/hostlink/order.go
@@ -0,0 +1,38 @@
+// Package hostlink shares the network link of a host between the calls of other hosts. It
+// decides what leaves next, how much of it at a time, and whether a long response can
+// still leave in time.
+//
+// It answers the load of responses of 100 kB on links of some Mbit/s: without an order,
+// answers that other calls wait for leave behind them, and responses are executed that
+// arrive too late. Order, admission and the estimate of the rate read no clock and do no
+// I/O.
+package hostlink
+
+import "geraniumnotch.example/geraniumnotch/boottime"
+
+// Need says how urgent a response is.
+type Need struct {
+	// Nested is set when another call waits for the response and holds a slot meanwhile.
+	Nested bool
+	// Rank is the rank of the call; 0 is the most urgent.
+	Rank uint8
+	// TargetBy is when the latency target ends, DeadlineBy when the caller stops waiting.
+	TargetBy, DeadlineBy boottime.Time
+}
+
+// before reports whether a leaves before b: responses to nested calls first, then those
+// within their latency target, then by rank, then by latency target.
+func (a Need) before(b Need, now boottime.Time) bool {
+	if a.Nested != b.Nested {
+		return a.Nested
+	}
+	if lateA, lateB := a.isLate(now), b.isLate(now); lateA != lateB {
+		return lateB
+	}
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	return a.TargetBy < b.TargetBy
+}
+
+func (a Need) isLate(now boottime.Time) bool { return a.TargetBy <= now }
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -19,6 +19,7 @@
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
 	"geraniumnotch.example/geraniumnotch/departures"
+	"geraniumnotch.example/geraniumnotch/hostlink"
 	"geraniumnotch.example/geraniumnotch/ingress"
 	"geraniumnotch.example/geraniumnotch/internal/sockpoll"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
@@ -75,6 +76,7 @@
 	registrar    *registrar
 	registration *localendpoint.Registration
 	directory    *peers.Directory
+	hostLink     *hostlink.Link
 	forwarder    *ingress.Forwarder
 	ingress      *ingress.Server
 	metrics      *metrics.Registry
@@ -129,7 +131,7 @@
 		rank:             func() (all, domain int) { return n.directory.Rank() },
 		askPeer:          func(host mesh.HostID, have uint64) error { return n.directory.RequestPlan(host, have) },
 		peersHeard:       func() bool { return n.peersHeard() },
-		onActivated:      func(p *routeplan.Plan) { n.ingress.PlanChanged(p) },
+		onActivated:      n.planActivated,
 		onConfirmed:      func() { n.directory.ReportNow() },
 		onStoreRecovered: func() { n.registrar.signalStoreRecovered() },
 		monitor:          storeMonitor{logger: logger, use: "plan"},
@@ -139,9 +141,13 @@
 	n.registration.AwaitDepartures()
 	buffers := call.NewBuffers(int64(s.ResponseBufferMB) << 20)
 	gate := localendpoint.NewGate(n.registration, platform.Headers{}, clock, observer, buffers)
+	n.hostLink = hostlink.New(hostlink.Config{Mbps: s.LinkMbps, Clock: clock, Logger: logger, OnWait: observer.waitedForLink})
+	if err := observeHostLink(registry.Meter(), n.hostLink); err != nil {
+		return nil, err
+	}
 	record := peers.Record{Host: s.Host, Address: s.Listen.PeersAdvertised, FailureDomain: s.FailureDomain, Incarnation: n.started.UnixNano(), LinkMbps: s.LinkMbps}
 	n.directory = peers.New(peers.Config{
-		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate,
+		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate, HostLink: n.hostLink,
 		LocalStatus: n.statusReport, PlanDelta: n.planKeeper.deltaFrom, OnPlan: n.planKeeper.activateDelta,
 		OnPlanReport: n.planKeeper.recordReport,
 		OnLimitedEndpoint: func(e peers.LimitedEndpoint) {
@@ -171,6 +177,12 @@
 	return n, nil
 }
 
+// planActivated applies a new plan.
+func (n *Node) planActivated(p *routeplan.Plan) {
+	n.hostLink.SetEnabled(p.HasKind(routeplan.Download))
+	n.ingress.PlanChanged(p)
+}
+
 // endpointChanged reports the endpoint of this host to its peers. The endpoint is nil
 // when there is none.
 func (n *Node) endpointChanged(e *localendpoint.Endpoint) {
--- a/hostnode/observe.go
+++ b/hostnode/observe.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/hostlink"
 	"geraniumnotch.example/geraniumnotch/ingress"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
 	"geraniumnotch.example/geraniumnotch/transport"
@@ -35,6 +36,7 @@
 	queueDelay                               metric.Float64Histogram
 	suppressed                               metric.Int64Counter
 	hedges                                   metric.Int64Counter
+	linkWait                                 metric.Float64Histogram
 }
 
 // latencyBuckets are the bounds of the histograms in seconds, around the usual
@@ -48,7 +50,7 @@
 		failedLimit:   rate.NewLimiter(failedLinesPerSecond, failedLinesPerSecond),
 		attemptLimit:  rate.NewLimiter(attemptLinesPerSecond, attemptLinesPerSecond),
 	}
-	var errs [8]error
+	var errs [9]error
 	o.calls, errs[0] = meter.Int64Counter("host_calls", metric.WithDescription("calls of clients and of the endpoint by status and reason"))
 	o.duration, errs[1] = meter.Float64Histogram("host_call_seconds", latencyBuckets, metric.WithDescription("time from the head of a request to its answer"))
 	o.attempts, errs[2] = meter.Int64Counter("host_attempts", metric.WithDescription("attempts at the endpoint of the host by fate and reason"))
@@ -58,9 +60,33 @@
 		counterCallback(droppedLines))
 	_, errs[6] = meter.Int64ObservableCounter("host_store_calls", metric.WithDescription("calls to the platform's store"), counterCallback(storeCalls))
 	o.hedges, errs[7] = meter.Int64Counter("host_hedges", metric.WithDescription("second attempts of idempotent calls while the first had no answer"))
+	o.linkWait, errs[8] = meter.Float64Histogram("host_outgoing_wait_seconds", latencyBuckets, metric.WithDescription("time that chunks of long responses to other hosts waited for the host's link, by rank"))
 	return o, errors.Join(errs[:]...)
 }
 
+// observeHostLink registers the figures of the link by which responses leave.
+func observeHostLink(meter metric.Meter, l *hostlink.Link) error {
+	gauge := func(name, description string, value func(hostlink.Stats) int64) error {
+		_, err := meter.Int64ObservableGauge(name, metric.WithDescription(description), metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(value(l.Stats()))
+			return nil
+		}))
+		return err
+	}
+	_, err := meter.Int64ObservableCounter("host_outgoing_refused", metric.WithDescription("calls of other hosts that were not executed because their long response would not have left in time"),
+		counterCallback(func() int64 { return l.Stats().Refused }))
+	return errors.Join(err,
+		gauge("host_outgoing_waiting_bytes", "bytes of long responses that wait for the host's link", func(s hostlink.Stats) int64 { return s.WaitingBytes }),
+		gauge("host_outgoing_promised_bytes", "bytes of long responses that have been begun and have not left", func(s hostlink.Stats) int64 { return s.PromisedBytes }),
+		gauge("host_outgoing_bytes_per_second", "rate that the host's link is counted on for, 0 while nothing is ordered", func(s hostlink.Stats) int64 { return int64(s.BytesPerSecond) }),
+	)
+}
+
+// waitedForLink records the time that a chunk waited for the host's link.
+func (o *observer) waitedForLink(need hostlink.Need, waited time.Duration) {
+	o.linkWait.Record(context.Background(), waited.Seconds(), metric.WithAttributes(attribute.Int("rank", int(need.Rank)), attribute.Bool("nested", need.Nested)))
+}
+
 // observeLinks registers the counter of the bytes on the links to other hosts.
 func observeLinks(meter metric.Meter, local, remote func() map[transport.Kind]transport.KindTraffic) error {
 	_, err := meter.Int64ObservableCounter("host_link_bytes", metric.WithDescription("bytes on links to other hosts by domain, direction and kind of message"),
--- a/localendpoint/gate.go
+++ b/localendpoint/gate.go
@@ -8,6 +8,8 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/hostlink"
+	"geraniumnotch.example/geraniumnotch/routeplan"
 	"geraniumnotch.example/geraniumnotch/slotqueue"
 )
 
@@ -71,6 +73,9 @@
 	if remote != nil {
 		queued.Preparing, queued.ReadyBy = true, arrived+remote.ExpectedFetchTime()
 	}
+	if retryAfter, fits := reserveTransfer(c, e, arrived); !fits {
+		return g.report(c, e, call.Result{Outcome: call.Rejected, Reason: call.ReasonLinkFull, RetryAfter: retryAfter}, 0, 0)
+	}
 	ticket, rejection := e.Queue.Offer(queued, arrived)
 	if rejection != nil {
 		return g.report(c, e, call.Result{Outcome: call.Rejected, Reason: rejection.Reason, RetryAfter: rejection.RetryAfter}, 0, 0)
@@ -108,6 +113,18 @@
 	return g.report(c, e, r, started-arrived, g.clock()-started)
 }
 
+// reserveTransfer decides whether the response of a call of another host can leave by this
+// host's link in time, if it is expected to be long.
+func reserveTransfer(c *call.Call, e *Endpoint, now boottime.Time) (retryAfter time.Duration, fits bool) {
+	isLong := c.ResponseBytes > hostlink.LongBytes || c.ResponseBytes == 0 && c.Kind == routeplan.Download
+	if c.Transfer == nil || !isLong {
+		return 0, true
+	}
+	load, mean := e.Queue.Load(), e.Queue.MeanServiceTime(now)
+	rounds := float64(max(0, load.Running+load.Waiting+1-e.Slots)) / float64(max(1, e.Slots))
+	return c.Transfer.Reserve(c.ResponseBytes, mean+time.Duration(rounds*float64(mean)))
+}
+
 // fetchBody fetches the body of a call from the sending host before the call gets a
 // slot, so that no slot is held while a long body crosses a slow link. It returns the
 // reason if the call is rejected, else "".
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -15,6 +15,7 @@
 	"geraniumnotch.example/geraniumnotch/callmux"
 	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/events"
+	"geraniumnotch.example/geraniumnotch/hostlink"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/plansync"
 	"geraniumnotch.example/geraniumnotch/routeplan"
@@ -71,6 +72,8 @@
 	Dial transport.DialFunc
 	// Local executes the calls of peers at the endpoint of this host.
 	Local call.Runner
+	// HostLink orders the long responses to peers; nil orders nothing.
+	HostLink *hostlink.Link
 	// LocalStatus returns this host's status without its record.
 	LocalStatus func() Status
 	// PlanDelta returns the active plan as a delta to the version that a peer has. It
@@ -161,6 +164,10 @@
 // New returns a directory that knows only this host.
 func New(config Config) *Directory {
 	d := &Directory{config: config, bodyLimiter: callmux.NewBodyLimiter(config.Self.LinkMbps), peers: map[mesh.HostID]*Peer{}, links: map[*transport.Link]*linkState{}, sendNow: make(chan struct{}, 1)}
+	if config.HostLink != nil {
+		d.localTraffic.SetOnSent(d.recordSent)
+		d.remoteTraffic.SetOnSent(d.recordSent)
+	}
 	d.byService.Store(&map[mesh.ServiceName][]*Peer{})
 	d.hostCount.Store(1)
 	d.manager = transport.NewManager(transport.Config{
@@ -171,6 +178,13 @@
 	return d
 }
 
+// recordSent records the messages that leave without waiting for the host's link.
+func (d *Directory) recordSent(kind transport.Kind, bytes int) {
+	if kind != transport.KindResponseData {
+		d.config.HostLink.RecordShort(bytes)
+	}
+}
+
 // handshakesPerSecond bounds the rate of accepted links. At this rate all hosts of a
 // mesh of 750 dial each other within about 4 s after a mass restart.
 const handshakesPerSecond = 200
--- a/peers/links.go
+++ b/peers/links.go
@@ -71,6 +71,7 @@
 
 func (d *Directory) onLinkUp(l *transport.Link) {
 	mux := callmux.NewMux(l, d.config.Local, d.config.Clock, d.bodyLimiter)
+	mux.SetHostLink(d.config.HostLink)
 	mux.SetOnSilence(func() { d.onSilence(l) })
 	d.mu.Lock()
 	d.links[l] = &linkState{mux: mux}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -13,11 +13,13 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
 	"geraniumnotch.example/geraniumnotch/departures"
+	"geraniumnotch.example/geraniumnotch/hostlink"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/peers"
 	"geraniumnotch.example/geraniumnotch/plansync"
@@ -35,6 +37,7 @@
 type host struct {
 	*peers.Directory
 	record       peers.Record
+	link         *hostlink.Link
 	server       *http.Server
 	stop         context.CancelFunc
 	ended        chan struct{}
@@ -55,6 +58,8 @@
 type testNetwork struct {
 	*faultnet.Network
 	hosts int
+	// linkMbps is the bandwidth at which hosts order long responses, 0 for none.
+	linkMbps float64
 }
 
 // inBubble runs a specification on a new network in a synctest bubble.
@@ -78,8 +83,11 @@
 		record:       peers.Record{Host: mesh.HostID(name), Address: address, FailureDomain: "d", Incarnation: incarnation, LinkMbps: 8},
 		planVersions: make(chan uint64, 1000), plans: make(chan routeplan.Delta, 10), learned: make(chan departures.List, 100), ended: make(chan struct{}),
 	}
+	h.link = hostlink.New(hostlink.Config{Mbps: n.linkMbps, Clock: now, Logger: hclog.NewNullLogger()})
+	h.link.SetEnabled(n.linkMbps > 0)
 	h.Directory = peers.New(peers.Config{
-		Self: h.record, Clock: now, Dial: transport.DialFunc(n.Dialer(address)), Local: run,
+		HostLink: h.link,
+		Self:     h.record, Clock: now, Dial: transport.DialFunc(n.Dialer(address)), Local: run,
 		LocalStatus: func() peers.Status {
 			for h.paused.Load() {
 				time.Sleep(time.Millisecond)
--- a/routeplan/routeplan.go
+++ b/routeplan/routeplan.go
@@ -4,6 +4,7 @@
 package routeplan
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,6 +84,11 @@
 	Public bool `cbor:"-"`
 }
 
+// HasKind reports whether a route is of the kind.
+func (p *Plan) HasKind(k Kind) bool {
+	return slices.ContainsFunc(p.Routes, func(r Route) bool { return r.Kind == k })
+}
+
 // Service describes a service of the plan.
 type Service struct {
 	_              struct{} `cbor:",toarray"`
--- a/transport/meter.go
+++ b/transport/meter.go
@@ -48,7 +48,14 @@
 // WebSocket framing and an estimate of the handshakes; TCP and IP headers are
 // not included. The zero value is ready for use, and all methods may be called
 // concurrently.
-type Meter struct{ in, out [maxKind]counter }
+type Meter struct {
+	in, out [maxKind]counter
+	onSent  func(kind Kind, bytes int)
+}
+
+// SetOnSent sets a function that is called with each message sent. It must be set before the
+// first message, and must not block.
+func (m *Meter) SetOnSent(f func(kind Kind, bytes int)) { m.onSent = f }
 
 // meteredKind returns the kind under which the meter counts kind.
 func meteredKind(kind Kind) Kind {
@@ -75,7 +82,13 @@
 }
 
 func (m *Meter) received(kind Kind, bytes int) { m.in[meteredKind(kind)].add(bytes) }
-func (m *Meter) sent(kind Kind, bytes int)     { m.out[meteredKind(kind)].add(bytes) }
+
+func (m *Meter) sent(kind Kind, bytes int) {
+	m.out[meteredKind(kind)].add(bytes)
+	if m.onSent != nil {
+		m.onSent(kind, bytes)
+	}
+}
 
 // Read returns the traffic of each kind that has any.
 func (m *Meter) Read() map[Kind]KindTraffic {
