Place long responses by what the links of hosts carry

Cause: hosts chose endpoints without knowing the links behind them, so that one link was full, and refused, while others had room. A host whose link needs longer than the time to the deadline is skipped; if all are, the call is rejected with link_full.

--- a/hostlink/rate.go
+++ b/hostlink/rate.go
@@ -49,8 +49,11 @@
 	minDelay   time.Duration
 }
 
+// BytesPerSecond returns the rate that frames may use of a link with a bandwidth in Mbit/s.
+func BytesPerSecond(mbps float64) float64 { return usableFraction * mbps * 1e6 / 8 }
+
 func newRateEstimate(mbps float64) rateEstimate {
-	limit := usableFraction * mbps * 1e6 / 8
+	limit := BytesPerSecond(mbps)
 	return rateEstimate{limit: limit, usable: limit}
 }
 
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -4,11 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/hostlink"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/peers"
@@ -51,6 +53,9 @@
 	// RemoteByteCost is the cost of a byte between failure domains, as a fraction of the
 	// value of a call.
 	RemoteByteCost float64
+	// HostLink tells whether long responses are ordered on the links of hosts; nil means
+	// that they are not.
+	HostLink *hostlink.Link
 
 	// OnHedge is called for each second attempt of a call while the first has no answer;
 	// nil ignores it.
@@ -107,6 +112,9 @@
 	s := &callState{forwarder: f, c: c, route: route, deadline: now + c.Remaining, targetBy: now + c.TargetRemaining}
 	ctx, cancel := context.WithTimeout(ctx, c.Remaining+responseGrace)
 	f.RetryBudget.Deposit(c.Service)
+	if expected := f.Sizes.Expected(route); f.HostLink.Enabled() && expected > hostlink.LongBytes {
+		c.ResponseBytes = expected
+	}
 	for {
 		r, retry := s.attempt(ctx)
 		if retry {
@@ -257,14 +265,23 @@
 	candidates, destinations := s.candidates()
 	i := placement.Choose(candidates, s.placementCall(), rand.Float64)
 	if i < 0 {
+		s.rejectByLink(candidates)
 		return destination{}, false
 	}
 	return destinations[i], true
 }
 
+// rejectByLink records that a call is rejected because the links of all hosts that could
+// answer it are full for longer than it has time.
+func (s *callState) rejectByLink(candidates []placement.Candidate) {
+	if s.rejected.Outcome == 0 && slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return !c.Excluded && c.ExceedsLink(s.c.Remaining) }) {
+		s.rejected = call.Result{Outcome: call.Rejected, Reason: call.ReasonLinkFull}
+	}
+}
+
 func (s *callState) placementCall() placement.Call {
 	return placement.Call{
-		TargetRemaining: s.c.TargetRemaining, RemoteByteCost: s.forwarder.RemoteByteCost,
+		TargetRemaining: s.c.TargetRemaining, Remaining: s.c.Remaining, RemoteByteCost: s.forwarder.RemoteByteCost,
 		Bytes: max(0, s.c.BodyBytes) + s.forwarder.Sizes.Expected(s.route),
 	}
 }
@@ -287,7 +304,7 @@
 		}
 		add(placement.Candidate{
 			SameDomain: p.FailureDomain() == s.forwarder.Domain, Slots: e.Slots, Occupied: p.Occupied(), MeanServiceTime: e.MeanServiceTime,
-			ClassServiceTime: e.ClassServiceTime(class), CallsPerSecond: e.CallsPerSecond, FailureRatio: float64(e.FailurePercent) / 100,
+			ClassServiceTime: e.ClassServiceTime(class), LinkDelay: p.LinkDelay(s.c.ResponseBytes), CallsPerSecond: e.CallsPerSecond, FailureRatio: float64(e.FailurePercent) / 100,
 			Cold: e.Cold, Stale: p.Stale(), Excluded: s.excluded[p.Host()],
 		}, destination{host: p.Host(), runner: p, markLeaving: func() { p.MarkLeaving(e) }})
 	}
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -110,6 +110,11 @@
 	// or result, and sentSinceReport the calls that this host has sent since.
 	reportedCalls   atomic.Int64
 	sentSinceReport atomic.Int64
+	// link is the latest report about the link of the host, nil without one.
+	// expectedBytes are those of the long responses that this host has asked for since the
+	// latest status report.
+	link          atomic.Pointer[linkReport]
+	expectedBytes atomic.Int64
 	// stale is set while a status report of the peer is overdue.
 	stale atomic.Bool
 	// silentSince is the time in Unix nanoseconds at which the peer did not confirm a call
@@ -135,6 +140,8 @@
 	// sentBase is the number of the latest whole report that was sent on the link, 0 for
 	// none.
 	sentBase uint64
+	// sentLink is the latest report about this host's link that was sent.
+	sentLink linkStatus
 }
 
 // Directory holds the other hosts of the mesh and the links to them. It is safe for
@@ -282,6 +289,7 @@
 		d.sent = sentStatus{base: status, number: d.sent.number + 1, at: now}
 	}
 	frames := statusFrames{status: &status}
+	d.sendLinkStatus(links)
 	for _, l := range links {
 		if err := d.sendStatusOn(l, &frames); err != nil {
 			eventBadFrame.Log(d.config.Logger, "error", err)
@@ -348,6 +356,12 @@
 			return err
 		}
 		return d.handleStatusDelta(l, state, &delta)
+	case transport.KindLinkStatus:
+		var s linkStatus
+		if err := m.Decode(&s); err != nil {
+			return err
+		}
+		return d.handleLinkStatus(l, s)
 	case transport.KindPlanRequest:
 		var r planRequest
 		if err := m.Decode(&r); err != nil {
@@ -465,6 +479,7 @@
 		p.reportedCalls.Store(int64(s.Endpoint.Running + s.Endpoint.Waiting))
 		p.sentSinceReport.Store(0)
 	}
+	p.expectedBytes.Store(0)
 	if old == nil || !sameAvailability(old, &s) {
 		d.rebuildIndex()
 		d.logStatusChange(p, &s)
@@ -608,6 +623,9 @@
 		return call.Result{Outcome: call.Rejected, Reason: call.ReasonNoLink}
 	}
 	p.sentSinceReport.Add(1)
+	if c.ResponseBytes > 0 {
+		p.expectedBytes.Add(c.ResponseBytes)
+	}
 	r := mux.Run(ctx, c)
 	if r.HasLoad {
 		p.reportedCalls.Store(int64(r.Load.Running + r.Load.Waiting))
--- a/peers/hostlink_test.go
+++ b/peers/hostlink_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/hostlink"
 	"geraniumnotch.example/geraniumnotch/routeplan"
 )
 
@@ -119,3 +120,33 @@
 		waitFor(func() bool { s := b.link.Stats(); return s.PromisedBytes == 0 && s.WaitingBytes == 0 })
 	})
 }
+
+// Guards against hosts that do not learn that a link is full, and against a report that
+// lasts longer than the wait.
+func TestHostsReportTheirLinks(t *testing.T) {
+	inBubble(t, "a link with and without a long response", func(_ C, n *testNetwork) {
+		n.linkMbps = 8
+		a, b := n.newHost("a", 1, echo), n.newHost("b", 2, respondLong)
+		defer a.close()
+		defer b.close()
+		a.AddRecords(b.record)
+		a.waitForPeers(1)
+		p := a.ByService("s")[0]
+		const idle = 106 * time.Millisecond // 100 kB at 0.94 MB/s.
+		So(p.LinkDelay(0), ShouldEqual, 0)
+		So(p.LinkDelay(100_000).Truncate(time.Millisecond), ShouldEqual, idle)
+		t := b.link.NewTransfer(hostlink.Need{TargetBy: now() + time.Minute, DeadlineBy: now() + time.Minute})
+		_, fits := t.Reserve(1_000_000, 0)
+		So(fits, ShouldBeTrue)
+		waitFor(func() bool { return p.LinkDelay(100_000) > time.Second })
+		t.Close()
+		waitFor(func() bool { return p.LinkDelay(100_000).Round(10*time.Millisecond) == 110*time.Millisecond })
+		Convey("and calls count until the next report", func() {
+			b.pauseReports()
+			c := newCall(nil)
+			c.ResponseBytes = 100_000
+			So(p.Run(context.Background(), c).Outcome, ShouldEqual, call.Answered)
+			So(p.LinkDelay(100_000), ShouldBeGreaterThan, 200*time.Millisecond)
+		})
+	})
+}
--- a/peers/links.go
+++ b/peers/links.go
@@ -7,6 +7,7 @@
 
 	"geraniumnotch.example/geraniumnotch/callmux"
 	"geraniumnotch.example/geraniumnotch/departures"
+	"geraniumnotch.example/geraniumnotch/hostlink"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
 
@@ -74,7 +75,9 @@
 	mux.SetHostLink(d.config.HostLink)
 	mux.SetOnSilence(func() { d.onSilence(l) })
 	d.mu.Lock()
-	d.links[l] = &linkState{mux: mux}
+	state := &linkState{mux: mux}
+	state.sentLink.KBps = int64(hostlink.BytesPerSecond(d.config.Self.LinkMbps) / bytesPerKB)
+	d.links[l] = state
 	var limited *LimitedEndpoint
 	var departed departures.List
 	if p := d.peers[l.Peer()]; p != nil {
@@ -119,6 +122,7 @@
 	mux := d.links[l].mux
 	delete(d.links, l)
 	if p := d.peers[l.Peer()]; p != nil && p.mux.CompareAndSwap(mux, nil) {
+		p.link.Store(nil)
 		p.lastUp = time.Now()
 		p.nextDial = time.Now()
 		p.status.Store(nil)
--- a/placement/hedge.go
+++ b/placement/hedge.go
@@ -37,7 +37,7 @@
 		return 0
 	}
 	waiting := max(0, c.Occupied+1-c.Slots)
-	return service + time.Duration(float64(c.MeanServiceTime)*float64(waiting)/float64(c.Slots))
+	return service + time.Duration(float64(c.MeanServiceTime)*float64(waiting)/float64(c.Slots)) + c.LinkDelay
 }
 
 // ChooseFree returns the index of a candidate with free slots for a second attempt of a
@@ -47,7 +47,7 @@
 	best, bestValue := -1, 0.0
 	for i := range candidates {
 		c := candidates[i]
-		if c.Excluded || c.Stale || c.Slots <= 0 || c.FailureRatio >= minFailingFraction || c.isOnTrial(typical) ||
+		if c.Excluded || c.Stale || c.Slots <= 0 || c.ExceedsLink(call.Remaining) || c.FailureRatio >= minFailingFraction || c.isOnTrial(typical) ||
 			float64(c.Occupied+1) > math.Floor(maxHedgeOccupancy*c.usableSlots(typical)) {
 			continue
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -72,7 +72,10 @@
 	CallsPerSecond float64
 	// FailureRatio is the recent fraction of failed answers, 0 to 1.
 	FailureRatio float64
-	Cold         bool
+	// LinkDelay is the time that the response is expected to take on the link of its host, 0
+	// when it does not leave the host, is short, or the link is not known.
+	LinkDelay time.Duration
+	Cold      bool
 	// Stale is set when the latest status report of the host is older than it
 	// may be.
 	Stale bool
@@ -84,6 +87,8 @@
 type Call struct {
 	// TargetRemaining is the remaining time of the latency target.
 	TargetRemaining time.Duration
+	// Remaining is the time to the deadline, 0 when it is not known.
+	Remaining time.Duration
 	// Bytes is the expected length of the bodies of request and response, 0 or less
 	// when it is not known.
 	Bytes int64
@@ -97,6 +102,12 @@
 	return max(minRemoteDomainFactor, remoteDomainFactor-c.RemoteByteCost*float64(max(0, c.Bytes)))
 }
 
+// ExceedsLink reports whether the link of the host cannot deliver the response within the
+// time to the deadline.
+func (c *Candidate) ExceedsLink(remaining time.Duration) bool {
+	return remaining > 0 && c.LinkDelay > remaining
+}
+
 // Choose returns the index of the candidate for a call, or -1 when each is excluded
 // or has no slots. Random returns numbers in [0, 1).
 func Choose(candidates []Candidate, call Call, random func() float64) int {
@@ -107,7 +118,7 @@
 	best, bestValue := -1, 0.0
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Excluded || c.Slots <= 0 {
+		if c.Excluded || c.Slots <= 0 || c.ExceedsLink(call.Remaining) {
 			continue
 		}
 		if value := c.expectedValue(typical, call) * (1 - jitter*random()); best < 0 || value > bestValue {
@@ -232,10 +243,10 @@
 	}
 	// An endpoint on trial is not ruled out by an estimated service time: the trial
 	// shows whether it is fast enough.
-	if !c.isOnTrial(typical) && targetMargin*c.serviceTime(typical) >= float64(max(targetRemaining, 0)) {
+	if !c.isOnTrial(typical) && targetMargin*c.serviceTime(typical) >= float64(max(targetRemaining-c.LinkDelay, 0)) {
 		return 0
 	}
-	return free / c.serviceTime(typical)
+	return free / (c.serviceTime(typical) + float64(c.LinkDelay))
 }
 
 // expectedValue returns the expected value of the call at the endpoint: the
@@ -244,7 +255,7 @@
 func (c *Candidate) expectedValue(typical estimate, call Call) float64 {
 	serviceTime := c.serviceTime(typical)
 	occupancy := float64(c.Occupied+1) / c.usableSlots(typical)
-	queueingDelay := max(0, occupancy-1) * c.meanServiceTime(typical)
+	queueingDelay := max(0, occupancy-1)*c.meanServiceTime(typical) + float64(c.LinkDelay)
 	inTime := 0.0
 	if remaining := float64(call.TargetRemaining) - queueingDelay; remaining > 0 {
 		inTime = 1 - math.Exp(-serviceTimeShape*remaining/serviceTime)
--- a/transport/meter.go
+++ b/transport/meter.go
@@ -4,7 +4,7 @@
 
 // maxKind is the number of kinds that the meter counts separately; higher kinds
 // count as KindHandshake.
-const maxKind = 32
+const maxKind = 64
 
 // KindHandshake is the kind under which the meter counts opening handshakes. No
 // message has this kind.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -47,6 +47,7 @@
 	KindWorkspaceDemand
 	KindWorkspaceGrant
 	KindRolloutState
+	KindLinkStatus
 )
 
 // String returns the name of the kinds that nodes beside an endpoint exchange, for
@@ -55,7 +56,7 @@
 	switch k {
 	case KindHandshake:
 		return "handshake"
-	case KindHostStatus, KindHostStatusDelta:
+	case KindHostStatus, KindHostStatusDelta, KindLinkStatus:
 		return "status"
 	case KindPlanRequest, KindPlanValue, KindKeyedPlanValue:
 		return "plan"
