--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -372,7 +372,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	in := &incoming{cancel: cancel, window: newSendWindow(windowBytes), permit: permit{limiter: m.bodyLimiter}}
 	now := m.clock()
-	in.transfer = m.hostLink.NewTransfer(hostlink.Need{Nested: f.Nested, Rank: f.Rank, TargetBy: now + c.TargetRemaining, DeadlineBy: now + c.Remaining})
+	in.transfer = m.hostLink.NewTransfer(hostlink.Need{Nested: c.Nested, Rank: c.Rank, TargetBy: now + c.TargetRemaining, DeadlineBy: now + c.Remaining})
 	if in.transfer != nil {
 		c.Transfer = in.transfer
 	}
