--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -21,6 +21,7 @@
 	"geraniumnotch.example/geraniumnotch/call"
 	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/heldmemory"
+	"geraniumnotch.example/geraniumnotch/hostlink"
 	"geraniumnotch.example/geraniumnotch/ingress"
 	"geraniumnotch.example/geraniumnotch/internal/sockpoll"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
@@ -78,6 +79,7 @@
 	registrar    *registrar
 	registration *localendpoint.Registration
 	directory    *peers.Directory
+	hostLink     *hostlink.Link
 	forwarder    *ingress.Forwarder
 	ingress      *ingress.Server
 	metrics      *metrics.Registry
@@ -150,6 +152,10 @@
 	n.registration.AwaitDepartures()
 	buffers := call.NewBuffers(int64(s.ResponseBufferMB) << 20)
 	gate := localendpoint.NewGate(n.registration, platform.Headers{}, clock, observer, buffers)
+	n.hostLink = hostlink.New(hostlink.Config{Mbps: s.LinkMbps, Clock: clock, Logger: logger, OnWait: observer.waitedForLink})
+	if err := observeHostLink(registry.Meter(), n.hostLink); err != nil {
+		return nil, err
+	}
 	n.bodyMemory = heldmemory.NewAccount(s.bodyMemory(), clock)
 	record := peers.Record{Host: s.Host, Address: s.Listen.PeersAdvertised, FailureDomain: s.FailureDomain, Incarnation: n.started.UnixNano(), LinkMbps: s.LinkMbps}
 	n.quotas = newQuotas(s, n.started.UnixNano(), logger, clock, func() bool { return n.registrar.listed.Load() }, func() *peers.Directory { return n.directory })
@@ -158,7 +164,7 @@
 		maps.Copy(handlers, n.quotas.Handlers())
 	}
 	directoryConfig := peers.Config{
-		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate, BodyMemory: n.bodyMemory,
+		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate, BodyMemory: n.bodyMemory, HostLink: n.hostLink,
 		Handlers:    handlers,
 		LocalStatus: n.statusReport, PlanDelta: n.planKeeper.deltaFrom, OnPlan: n.planKeeper.activateDelta,
 		OnPlanReport: n.planKeeper.recordReport,
@@ -198,7 +204,7 @@
 		Domain: s.FailureDomain, Headers: platform.Headers{}, Peers: n.directory, LocalGate: gate, Registration: n.registration, Clock: clock,
 		RetryBudget: retrybudget.New(s.RetryBudget, clock, n.directory.HostCount),
 		Sizes:       responsesize.New(), Buffers: buffers, RemoteByteCost: s.RemoteCostPerKB / 1024,
-		OnHedge: observer.hedged,
+		HostLink: n.hostLink, OnHedge: observer.hedged,
 	}
 	if n.rollouts != nil {
 		n.rollouts.directory = n.directory
@@ -219,6 +225,7 @@
 
 // planActivated applies a new plan to the parts that depend on it.
 func (n *Node) planActivated(p *routeplan.Plan) {
+	n.hostLink.SetEnabled(p.HasKind(routeplan.Download))
 	n.ingress.PlanChanged(p)
 	if n.quotas != nil {
 		n.quotas.SetPlan(p)
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -4,11 +4,13 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/hostlink"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/peers"
@@ -55,6 +57,9 @@
 	// Versions says which software versions of a service calls may go to while a new one is
 	// brought in; nil allows all.
 	Versions *rollout.Table
+	// HostLink tells whether long responses are ordered on the links of hosts; nil means
+	// that they are not.
+	HostLink *hostlink.Link
 
 	// OnHedge is called for each second attempt of a call while the first has no answer;
 	// nil ignores it.
@@ -119,6 +124,9 @@
 		s.versions = f.Versions.Choose(c.Service)
 		defer func() { s.versions.Done(s.sentAttempts > 0, s.versionUnavailable) }()
 	}
+	if expected := f.Sizes.Expected(route); f.HostLink.Enabled() && expected > hostlink.LongBytes {
+		c.ResponseBytes = expected
+	}
 	for {
 		r, retry := s.attempt(ctx)
 		if retry {
@@ -273,6 +281,7 @@
 		return s.chooseDestination()
 	}
 	if i < 0 {
+		s.rejectByLink(candidates)
 		return destination{}, false
 	}
 	return destinations[i], true
@@ -283,9 +292,17 @@
 	return s.versions == nil || s.versions.Allows(software, endpoint, len(s.excluded) == 0 && !s.versionUnavailable)
 }
 
+// rejectByLink records that a call is rejected because the links of all hosts that could
+// answer it are full for longer than it has time.
+func (s *callState) rejectByLink(candidates []placement.Candidate) {
+	if s.rejected.Outcome == 0 && slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return !c.Excluded && c.ExceedsLink(s.c.Remaining) }) {
+		s.rejected = call.Result{Outcome: call.Rejected, Reason: call.ReasonLinkFull}
+	}
+}
+
 func (s *callState) placementCall() placement.Call {
 	return placement.Call{
-		TargetRemaining: s.c.TargetRemaining, RemoteByteCost: s.forwarder.RemoteByteCost,
+		TargetRemaining: s.c.TargetRemaining, Remaining: s.c.Remaining, RemoteByteCost: s.forwarder.RemoteByteCost,
 		Bytes: max(0, s.c.BodyBytes) + s.forwarder.Sizes.Expected(s.route),
 	}
 }
@@ -308,7 +325,7 @@
 		}
 		add(placement.Candidate{
 			SameDomain: p.FailureDomain() == s.forwarder.Domain, Slots: e.Slots, Occupied: p.Occupied(), MeanServiceTime: e.MeanServiceTime,
-			ClassServiceTime: e.ClassServiceTime(class), CallsPerSecond: e.CallsPerSecond, FailureRatio: float64(e.FailurePercent) / 100,
+			ClassServiceTime: e.ClassServiceTime(class), LinkDelay: p.LinkDelay(s.c.ResponseBytes), CallsPerSecond: e.CallsPerSecond, FailureRatio: float64(e.FailurePercent) / 100,
 			Cold: e.Cold, Stale: p.Stale(), Excluded: s.excluded[p.Host()],
 		}, destination{host: p.Host(), runner: p, markLeaving: func() { p.MarkLeaving(e) }})
 	}
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -17,6 +17,7 @@
 	"geraniumnotch.example/geraniumnotch/departures"
 	"geraniumnotch.example/geraniumnotch/events"
 	"geraniumnotch.example/geraniumnotch/heldmemory"
+	"geraniumnotch.example/geraniumnotch/hostlink"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/plansync"
 	"geraniumnotch.example/geraniumnotch/rollout"
@@ -77,6 +78,8 @@
 	// BodyMemory is what request bodies that are fetched from peers may hold; nil limits
 	// nothing.
 	BodyMemory *heldmemory.Account
+	// HostLink orders the long responses to peers; nil orders nothing.
+	HostLink *hostlink.Link
 	// LocalStatus returns this host's status without its record.
 	LocalStatus func() Status
 	// PlanDelta returns the active plan as a delta to the version that a peer has. It
@@ -117,6 +120,11 @@
 	// or result, and sentSinceReport the calls that this host has sent since.
 	reportedCalls   atomic.Int64
 	sentSinceReport atomic.Int64
+	// link is the latest report about the link of the host, nil without one.
+	// expectedBytes are those of the long responses that this host has asked for since the
+	// latest status report.
+	link          atomic.Pointer[linkReport]
+	expectedBytes atomic.Int64
 	// stale is set while a status report of the peer is overdue.
 	stale atomic.Bool
 	// silentSince is the time in Unix nanoseconds at which the peer did not confirm a call
@@ -144,6 +152,8 @@
 	// sentBase is the number of the latest whole report that was sent on the link, 0 for
 	// none.
 	sentBase uint64
+	// sentLink is the latest report about this host's link that was sent.
+	sentLink linkStatus
 }
 
 // Directory holds the other hosts of the mesh and the links to them. It is safe for
@@ -174,6 +184,10 @@
 func New(config Config) *Directory {
 	d := &Directory{config: config, bodyLimiter: callmux.NewBodyLimiter(config.Self.LinkMbps), peers: map[mesh.HostID]*Peer{}, links: map[*transport.Link]*linkState{}, sendNow: make(chan struct{}, 1)}
 	d.bodyLimiter.SetMemory(config.BodyMemory)
+	if config.HostLink != nil {
+		d.localTraffic.SetOnSent(d.recordSent)
+		d.remoteTraffic.SetOnSent(d.recordSent)
+	}
 	d.byService.Store(&map[mesh.ServiceName][]*Peer{})
 	d.hostCount.Store(1)
 	d.manager = transport.NewManager(transport.Config{
@@ -184,6 +198,13 @@
 	return d
 }
 
+// recordSent records the messages that leave without waiting for the host's link.
+func (d *Directory) recordSent(kind transport.Kind, bytes int) {
+	if kind != transport.KindResponseData {
+		d.config.HostLink.RecordShort(bytes)
+	}
+}
+
 // handshakesPerSecond bounds the rate of accepted links. At this rate all hosts of a
 // mesh of 750 dial each other within about 4 s after a mass restart.
 const handshakesPerSecond = 200
@@ -281,6 +302,7 @@
 		d.sent = sentStatus{base: status, number: d.sent.number + 1, at: now}
 	}
 	frames := statusFrames{status: &status}
+	d.sendLinkStatus(links)
 	for _, l := range links {
 		if err := d.sendStatusOn(l, &frames); err != nil {
 			eventBadFrame.Log(d.config.Logger, "error", err)
@@ -347,6 +369,12 @@
 			return err
 		}
 		return d.handleStatusDelta(l, state, &delta)
+	case transport.KindLinkStatus:
+		var s linkStatus
+		if err := m.Decode(&s); err != nil {
+			return err
+		}
+		return d.handleLinkStatus(l, s)
 	case transport.KindPlanRequest:
 		var r planRequest
 		if err := m.Decode(&r); err != nil {
@@ -515,6 +543,7 @@
 		p.reportedCalls.Store(int64(s.Endpoint.Running + s.Endpoint.Waiting))
 		p.sentSinceReport.Store(0)
 	}
+	p.expectedBytes.Store(0)
 	if old == nil || !sameAvailability(old, &s) {
 		d.rebuildIndex()
 		d.logStatusChange(p, &s)
@@ -676,6 +705,9 @@
 		return call.Result{Outcome: call.Rejected, Reason: call.ReasonNoLink}
 	}
 	p.sentSinceReport.Add(1)
+	if c.ResponseBytes > 0 {
+		p.expectedBytes.Add(c.ResponseBytes)
+	}
 	r := mux.Run(ctx, c)
 	if r.HasLoad {
 		p.reportedCalls.Store(int64(r.Load.Running + r.Load.Waiting))
--- a/peers/links.go
+++ b/peers/links.go
@@ -7,6 +7,7 @@
 
 	"geraniumnotch.example/geraniumnotch/callmux"
 	"geraniumnotch.example/geraniumnotch/departures"
+	"geraniumnotch.example/geraniumnotch/hostlink"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
 
@@ -71,9 +72,12 @@
 
 func (d *Directory) onLinkUp(l *transport.Link) {
 	mux := callmux.NewMux(l, d.config.Local, d.config.Clock, d.bodyLimiter)
+	mux.SetHostLink(d.config.HostLink)
 	mux.SetOnSilence(func() { d.onSilence(l) })
 	d.mu.Lock()
-	d.links[l] = &linkState{mux: mux}
+	state := &linkState{mux: mux}
+	state.sentLink.KBps = int64(hostlink.BytesPerSecond(d.config.Self.LinkMbps) / bytesPerKB)
+	d.links[l] = state
 	var limited *LimitedEndpoint
 	var departed departures.List
 	if p := d.peers[l.Peer()]; p != nil {
@@ -122,6 +126,7 @@
 	mux := d.links[l].mux
 	delete(d.links, l)
 	if p := d.peers[l.Peer()]; p != nil && p.mux.CompareAndSwap(mux, nil) {
+		p.link.Store(nil)
 		p.lastUp = time.Now()
 		p.nextDial = time.Now()
 		status := p.status.Swap(nil)
