Tests for statuses that HTTP does not have, in both programs; they fail

Cause: RFC 9110, section 15 has statuses from 100 to 599. Both programs pass 600 to 999 on, and geraniumnotchd counts 101 as an executed call; a status below 100 ends the connection to the caller by a panic. A message between hosts may have any status up to 999. Change: tests only. Measured: TestEndpointFaults fails in 3 of its 6 new cases (101, 600, 999), TestStatusesThatHTTPDoesNotHave in 5 of 5.

--- a/callmux/malformed_test.go
+++ b/callmux/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -58,6 +59,19 @@
 	}
 }
 
+// Guards against a status that HTTP does not have and that an earlier program passes on. It
+// costs the call, not the link.
+func TestStatusesThatHTTPDoesNotHave(t *testing.T) {
+	for _, status := range []int{100, 101, 199, 600, 999} {
+		Convey(strconv.Itoa(status), t, func() {
+			mux, o, _ := newStreams()
+			_, err := mux.Handle(newMessage(transport.KindResponseHead, headFrame{Stream: 1, Status: status}))
+			So(err, ShouldBeNil)
+			So(mux.finishRun(1, o, <-o.result), ShouldResemble, call.Result{Outcome: call.Broken, Reason: call.ReasonResponseMalformed, Sent: true, HasLoad: true})
+		})
+	}
+}
+
 // FuzzMessages guards against a panic, and against results that callers cannot use, whatever
 // a peer sends for a call in progress.
 func FuzzMessages(f *testing.F) {
--- a/proxy/faults_test.go
+++ b/proxy/faults_test.go
@@ -82,6 +82,12 @@
 		_ = buf.Flush()
 		_ = conn.Close()
 	},
+	"status 000":                 writeStatus("000 X"),
+	"status 099":                 writeStatus("099 X"),
+	"status +20":                 writeStatus("+20 X"),
+	"status 101":                 writeStatus("101 Switching Protocols"),
+	"status 600":                 writeStatus("600 X"),
+	"status 999":                 writeStatus("999 X"),
 	"unbounded head":             writeForever("HTTP/1.1 200 OK\r\n", "A: x\r\n"),
 	"unbounded interim":          writeForever("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"),
 	"unbounded interim, no head": writeForever("", "HTTP/1.1 102 Processing\r\n\r\n"),
@@ -95,6 +101,16 @@
 	},
 }
 
+// writeStatus returns a fault that answers the call with a status line.
+func writeStatus(line string) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, buf, _ := http.NewResponseController(w).Hijack()
+		_, _ = fmt.Fprintf(buf, "HTTP/1.1 %s\r\n%s: %s\r\nContent-Length: 17\r\n\r\npart of an answer", line, mesh.HeaderCall, r.Header.Get(mesh.HeaderCall))
+		_ = buf.Flush()
+		_ = conn.Close()
+	}
+}
+
 // writeForever returns a fault that writes start, and then unit until the connection is
 // closed.
 func writeForever(start, unit string) func(http.ResponseWriter, *http.Request) {
@@ -140,6 +156,12 @@
 		{"crossed", "/once", "unknown crossed_answer", false, 1},
 		{"crossed", "/lookup", "executed", false, 2},
 		{"unframed", "/once", "unknown broken_connection", false, 1},
+		{"status 000", "/once", "unknown broken_connection", false, 1},
+		{"status 099", "/lookup", "executed", false, 2},
+		{"status +20", "/once", "unknown broken_connection", false, 1},
+		{"status 101", "/once", "unknown broken_connection", false, 1},
+		{"status 600", "/once", "unknown broken_connection", false, 1},
+		{"status 999", "/lookup", "executed", false, 2},
 		{"unbounded head", "/once", "unknown broken_connection", false, 1},
 		{"unbounded interim", "/once", "unknown broken_connection", false, 1},
 		{"unbounded interim", "/lookup", "executed", false, 2},
