Responses that only look complete: resets, statuses that HTTP does not have

When a reset is reported to the writer of a request, the reader finds the end of the connection, which ends a response without a length. The writer also closed the connection after a failed write, and with it a response that was not read yet. Change: a connection to the endpoint records the error of its first failed write. A response that its connection ends is complete if there is none, or if it is EPIPE: the endpoint had ended its side before the reset. Anything else counts as truncated. Only a body that cannot be read closes the connection while it is written. internal/statuscode decides which statuses a response may have, for geraniumnotch-host, geraniumnotchd and between hosts; others are broken attempts. geraniumnotchd rejects responses without a length already. Not measured through two hosts.

--- a/callmux/messages.go
+++ b/callmux/messages.go
@@ -206,5 +206,5 @@
 	return nil
 }
 
-// maxStatus is the highest status of HTTP.
+// maxStatus is the highest status that earlier programs pass on.
 const maxStatus = 999
--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -12,6 +12,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/internal/statuscode"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
 
@@ -199,6 +200,14 @@
 // finishRun ends the stream, unless a response body follows: then Close of that body
 // ends it.
 func (m *Mux) finishRun(id uint64, o *outgoing, result call.Result) call.Result {
+	if result.Response != nil && !statuscode.IsFinal(result.Response.Status) {
+		// Earlier programs pass such a response of an endpoint on.
+		m.removeOutgoing(id)
+		if result.Response.Stream != nil {
+			_ = m.send(transport.KindCallCancel, cancelFrame{Stream: id}) // The peer cancels the call too if the link is lost.
+		}
+		return call.Result{Outcome: call.Broken, Reason: call.ReasonResponseMalformed, Sent: true, Load: result.Load, HasLoad: result.HasLoad}
+	}
 	if result.Response == nil || result.Response.Stream == nil {
 		m.removeOutgoing(id)
 		return result
--- a/localendpoint/exchange.go
+++ b/localendpoint/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/internal/statuscode"
 )
 
 const (
@@ -46,6 +47,7 @@
 var (
 	errNoResponse         = errors.New("localendpoint: received bytes are no HTTP response")
 	errUnrelatedResponses = errors.New("localendpoint: too many responses with the ID of another call")
+	errStatus             = errors.New("localendpoint: response with a status that HTTP does not have")
 	errLastResponse       = errors.New("localendpoint: the response to another call ends the connection")
 )
 
@@ -178,16 +180,17 @@
 	b.WriteString("\r\n")
 }
 
-// sendBody writes the body. It closes the connection if the body is incomplete, so
-// that the endpoint does not mistake it for a complete one.
+// sendBody writes the body. It closes the connection if the body cannot be read, so that the
+// endpoint does not mistake it for a complete one. After a failed write the connection takes
+// no more bytes, but a response may still be read from it.
 func (x *exchange) sendBody(body io.Reader, length int64) error {
 	var err error
 	if length >= 0 {
-		_, err = io.CopyN(x.conn.Conn, body, length)
+		_, err = io.CopyN(x.conn, body, length)
 	} else {
-		err = writeChunks(x.conn.Conn, body)
+		err = writeChunks(x.conn, body)
 	}
-	if err != nil {
+	if err != nil && x.conn.writeError() == nil {
 		_ = x.conn.Close()
 	}
 	return err
@@ -227,8 +230,14 @@
 		if err != nil {
 			return x.fail(ctx, call.ReasonResponseMalformed, err)
 		}
-		if response.StatusCode < http.StatusOK {
+		switch {
+		case statuscode.IsInterim(response.StatusCode):
 			continue
+		case !statuscode.IsFinal(response.StatusCode):
+			return x.fail(ctx, call.ReasonResponseMalformed, errStatus)
+		}
+		if endsWithConnection(response) {
+			response.Body = closeDelimitedBody{ReadCloser: response.Body, conn: x.conn}
 		}
 		info := x.gate.headers.ReadResponse(response.StatusCode, response.Header)
 		if info.RequestID != x.call.ID {
@@ -242,6 +251,27 @@
 	return x.fail(ctx, call.ReasonResponseMalformed, errUnrelatedResponses)
 }
 
+// endsWithConnection reports whether only the end of the connection ends the body.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// closeDelimitedBody is a response body that the end of the connection ends. It is complete
+// only if the endpoint has ended the connection in order.
+type closeDelimitedBody struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read returns the next bytes, or an error if the connection did not end in order.
+func (b closeDelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.conn.endedInOrder() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // waitForResponse waits for the first bytes of a response. Other bytes fail the call
 // before the end of a line, which may never come. It returns the reason of an error.
 func (x *exchange) waitForResponse() (string, error) {
--- a/localendpoint/pool.go
+++ b/localendpoint/pool.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"geraniumnotch.example/geraniumnotch/boottime"
@@ -39,6 +42,38 @@
 	idleSince   boottime.Time
 	idleTimeout time.Duration
 	used        bool
+
+	// writeMu is held during writes; writeErr is the error of the first one that failed.
+	writeMu  sync.Mutex
+	writeErr error
+}
+
+// Write writes to the endpoint.
+func (c *conn) Write(b []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// writeError returns the error of the first write that failed, or nil.
+func (c *conn) writeError() error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	return c.writeErr
+}
+
+// endedInOrder reports whether the endpoint has ended its side of the connection, after a
+// read has found the end of it. The kernel reports a reset once, either to a read or to a
+// write, and the end of the connection from then on. A write gets EPIPE in its place if the
+// endpoint had ended its side before the reset. It ends the writing of the request.
+func (c *conn) endedInOrder() bool {
+	_ = c.SetWriteDeadline(time.Now()) // A write in progress may have consumed the reset.
+	err := c.writeError()
+	return err == nil || errors.Is(err, syscall.EPIPE) || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // pool keeps the idle connections to one endpoint, the most recently used last.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"geraniumnotch.example/geraniumnotch/gate"
+	"geraniumnotch.example/geraniumnotch/internal/statuscode"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/retry"
 	"geraniumnotch.example/geraniumnotch/selection"
@@ -208,6 +209,12 @@
 
 // readExecuted reads the endpoint's response, the whole body if it is short.
 func (a *attempt) readExecuted(resp *http.Response) {
+	if !statuscode.IsFinal(resp.StatusCode) {
+		// Earlier programs pass such a response of an endpoint on.
+		a.discardResponse(resp)
+		a.fail(selection.ClassBroken, &callFailure{outcome: mesh.OutcomeUnknown, reason: mesh.ReasonBrokenConnection, detail: "a status that HTTP does not have"})
+		return
+	}
 	response, err := readResponse(resp)
 	if err != nil {
 		a.exchange.conn.discard()
--- a/proxy/gatecall.go
+++ b/proxy/gatecall.go
@@ -9,6 +9,7 @@
 
 	"geraniumnotch.example/geraniumnotch/endpoints"
 	"geraniumnotch.example/geraniumnotch/gate"
+	"geraniumnotch.example/geraniumnotch/internal/statuscode"
 	"geraniumnotch.example/geraniumnotch/mesh"
 
 	"github.com/cockroachdb/errors"
@@ -125,6 +126,13 @@
 
 // handleResponse relays the endpoint's response.
 func (c *gateCall) handleResponse(ctx context.Context, x *exchange) {
+	if !statuscode.IsFinal(x.resp.StatusCode) {
+		x.conn.discard()
+		_ = x.resp.Body.Close()
+		c.hasServiceTime = true
+		c.writeFailure(&callFailure{outcome: mesh.OutcomeUnknown, reason: mesh.ReasonBrokenConnection, detail: "the endpoint answered with a status that HTTP does not have"})
+		return
+	}
 	if c.isCrossed(x.resp) {
 		x.conn.discard()
 		_ = x.resp.Body.Close()
