--- a/call/call.go
+++ b/call/call.go
@@ -126,6 +126,7 @@
 	ReasonNodeStopping       = "node_stopping"
 	ReasonUnknownKey         = "unknown_key"
 	ReasonUnknownParent      = "unknown_parent"
+	ReasonPlanBehind         = "plan_behind"
 	ReasonQuotaExceeded      = "quota_exceeded"
 	ReasonLinkFull           = "link_full"
 )
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -167,7 +167,7 @@
 		OnHedge: observer.hedged,
 	}
 	n.ingress = ingress.New(ingress.Config{
-		Plan: &n.plan, Headers: platform.Headers{}, Keys: platform.Headers{}, Clock: clock, Observer: observer, Forwarder: n.forwarder,
+		Plan: &n.plan, Headers: platform.Headers{}, Keys: platform.Headers{}, NewerPlanKnown: n.planKeeper.tracker.IsNewerKnown, Clock: clock, Observer: observer, Forwarder: n.forwarder,
 		LocalService: func() mesh.ServiceName { return n.settings.Load().Endpoint.Service },
 		RunningCalls: gate.RunningCalls,
 	})
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -41,6 +41,8 @@
 	dialer          localendpoint.DialFunc
 	clock           boottime.Clock
 	registration    *localendpoint.Registration
+	// newerPlan is set while another host has a newer plan.
+	newerPlan atomic.Bool
 
 	finished chan ingress.Exchange
 }
@@ -140,7 +142,7 @@
 	gate := localendpoint.NewGate(ts.registration, platform.Headers{}, ts.clock, ts, buffers)
 	directory := peers.New(peers.Config{Self: peers.Record{Host: "host", Address: "127.0.0.1:1"}, Clock: ts.clock, Local: gate})
 	ts.server = ingress.New(ingress.Config{
-		Plan: &ts.plan, Headers: platform.Headers{}, Keys: platform.Headers{}, Clock: ts.clock, Observer: ts, RunningCalls: gate.RunningCalls,
+		Plan: &ts.plan, Headers: platform.Headers{}, Keys: platform.Headers{}, NewerPlanKnown: ts.newerPlan.Load, Clock: ts.clock, Observer: ts, RunningCalls: gate.RunningCalls,
 		LocalService: func() mesh.ServiceName { return "s" },
 		Forwarder: &ingress.Forwarder{
 			Headers: platform.Headers{},
--- a/ingress/keys.go
+++ b/ingress/keys.go
@@ -36,6 +36,10 @@
 	if x.workspace = plan.WorkspaceOf(key); x.workspace == nil {
 		fingerprint := routeplan.FingerprintOf(key)
 		x.UnknownKey = &fingerprint
+		if newer := x.c.server.config.NewerPlanKnown; newer != nil && newer() {
+			// The newer plan may have the key. Clients do not retry after 401.
+			return &routeFailure{http.StatusServiceUnavailable, call.ReasonPlanBehind, noPlanRetryAfter}
+		}
 		return &routeFailure{http.StatusUnauthorized, call.ReasonUnknownKey, 0}
 	}
 	x.Workspace = x.workspace.Name
--- a/ingress/keys_test.go
+++ b/ingress/keys_test.go
@@ -165,6 +165,12 @@
 			return status
 		}
 		So(statusOf("other"), ShouldEqual, 401)
+		ts.newerPlan.Store(true)
+		So(statusOf("other"), ShouldEqual, 503) // The newer plan may have the key.
+		So(ts.waitForExchange("1").Reason, ShouldEqual, call.ReasonUnknownKey)
+		So(ts.waitForExchange("1").Reason, ShouldEqual, call.ReasonPlanBehind)
+		So(statusOf(""), ShouldEqual, 401)
+		ts.newerPlan.Store(false)
 		So(statusOf("key-a"), ShouldEqual, 200)
 		So(<-requests, ShouldResemble, received{workspace: "a"})
 		ts.plan.Activate(keyedPlan(2, workspace("a", "other"), workspace("b", "key-a")))
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -88,10 +88,12 @@
 	Plan    *routeplan.ActivePlan
 	Headers call.Headers
 	// Keys reads the keys of clients; nil if the deployment has none.
-	Keys      call.KeyHeaders
-	Forwarder *Forwarder
-	Clock     boottime.Clock
-	Observer  Observer
+	Keys call.KeyHeaders
+	// NewerPlanKnown reports whether another host has a newer plan; nil if none ever has.
+	NewerPlanKnown func() bool
+	Forwarder      *Forwarder
+	Clock          boottime.Clock
+	Observer       Observer
 	// LocalService returns the service of this host.
 	LocalService func() mesh.ServiceName
 	// RunningCalls tracks the calls that the endpoint of this host is executing.
