quota, hostnode: tests of owners, of hosts with the service, of settings

Cause: leaving out the check that a host is the owner in its own view, or the expiry of tokens, passed the tests.

--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -41,6 +41,8 @@
 	// client sends announcements and calls.
 	client *http.Client
 	logger hclog.Logger
+	// bounds holds further lines of the settings, for the section of bounds.
+	bounds string
 }
 
 type fixtureHost struct {
@@ -180,7 +182,7 @@
 func (h *fixtureHost) writeSettings(service string) {
 	text := fmt.Sprintf(settingsText, h.name, service, h.address["endpoint"], h.address["calls"], h.address["peers"],
 		h.address["ready"], h.address["announcements"], h.address["metrics"], h.fixture.store.Address())
-	if err := os.WriteFile(h.path(), []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(h.path(), []byte(text+h.fixture.bounds), 0o600); err != nil {
 		panic(err)
 	}
 }
--- a/quota/faults_test.go
+++ b/quota/faults_test.go
@@ -62,6 +62,14 @@
 		"the owner and the host that succeeds it lose their link": func(m *model, owner int) {
 			m.cut(owner, m.successorOf("large", owner))
 		},
+		"another host loses its link to the owner, and asks the one that succeeds it": func(m *model, owner int) {
+			for i := range m.hosts {
+				if i != owner && i != m.successorOf("large", owner) {
+					m.cut(owner, i)
+					return
+				}
+			}
+		},
 		"the owner is killed again and again": func(m *model, owner int) {
 			for i := range 5 {
 				m.after(time.Duration(i)*900*ms, func() { m.fault("kill", []int{owner}, 30*ms) })
@@ -91,15 +99,16 @@
 // other, and then call at all hosts.
 func TestTokensThatCallersLeaveBehindExpire(t *testing.T) {
 	Convey("callers move from host to host, then call everywhere", t, func() {
+		const pause = 3200 * ms // The bucket fills up.
 		limits := oneWorkspace(100, 300)
 		m := newModel(t, 30, limits, 7)
 		m.run(4 * time.Second)
 		for i := range m.hosts {
-			for j := range 105 {
-				m.after(time.Duration(i)*time.Second+time.Duration(j)*1500*time.Microsecond, func() { m.call(i, "large", false) })
+			for j := range 280 {
+				m.after(time.Duration(i)*pause+time.Duration(j)*500*time.Microsecond, func() { m.call(i, "large", false) })
 			}
 		}
-		m.run(33 * time.Second)
+		m.run(30 * pause)
 		m.workload("large", 6*time.Second, "flood", 0)
 		m.run(6 * time.Second)
 		m.checkWindows("large", limits["large"], 0)
