--- a/hostnode/quotas_test.go
+++ b/hostnode/quotas_test.go
@@ -69,8 +69,11 @@
 		waitFor(func() bool { return f.allHave(4) && b.node.directory.HostCount() == 2 })
 		time.Sleep(time.Second)
 		for _, body := range []any{
-			"text", quota.Demand{Version: 9}, quota.Demand{Version: 1, View: &quota.View{Known: -1}},
-			quota.Demand{Version: 1, View: &quota.View{Known: 1, Unreached: []uint64{1}}}, quota.Demand{Version: 1, Asks: []quota.Ask{{Workspace: "w", Calls: 1 << 30}}},
+			"text",
+			quota.Demand{Version: 9},
+			quota.Demand{Version: 1, View: &quota.View{Known: -1}},
+			quota.Demand{Version: 1, View: &quota.View{Known: 1, Unreached: []uint64{1}}},
+			quota.Demand{Version: 1, Asks: []quota.Ask{{Workspace: "w", Calls: 1 << 30}}},
 		} {
 			So(a.node.directory.Send("host-b", transport.KindWorkspaceDemand, body), ShouldBeNil)
 			So(a.node.directory.Send("host-b", transport.KindWorkspaceGrant, body), ShouldBeNil)
