quota: fill a lost owner's quotas sooner when its link was closed

Cause: a host that lost an owner lent its part to the next one 1 s later, also when the owner's process had ended and reset the link. Change: peers tells a link that went silent from one that was closed or reset. Only after silence may the other end still count the host; then it is stated as unreached 1 s later. Views count after 0.2 s.

--- a/hostnode/quotas.go
+++ b/hostnode/quotas.go
@@ -36,9 +36,9 @@
 	}
 	return quota.NewService(quota.Config{
 		Self: s.Host, Bound: s.Quota, Clock: clock, Logger: logger, Number: number,
-		Hosts: func() (known, reached []mesh.HostID, isListed bool) {
-			known, reached = directory().Hosts()
-			return known, reached, listed()
+		Hosts: func() quota.Hosts {
+			h := directory().Hosts()
+			return quota.Hosts{Known: h.Known, Reached: h.Reached, Silent: h.Silent, Listed: listed()}
 		},
 		Send: func(to mesh.HostID, kind transport.Kind, body any) error { return directory().Send(to, kind, body) },
 	})
--- a/hostnode/quotas_test.go
+++ b/hostnode/quotas_test.go
@@ -79,8 +79,7 @@
 			So(a.node.directory.Send("host-b", transport.KindWorkspaceGrant, body), ShouldBeNil)
 		}
 		time.Sleep(time.Second)
-		_, reached := b.node.directory.Hosts()
-		So(reached, ShouldResemble, []mesh.HostID{"host-a"})
+		So(b.node.directory.Hosts().Reached, ShouldResemble, []mesh.HostID{"host-a"})
 	})
 }
 
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -121,6 +121,9 @@
 	dialing     bool
 	// stopped is set when the link was lost while the host drained.
 	stopped bool
+	// silentAt is when a link was lost that had gone silent. Zero if the last link was
+	// closed by the other end or reset.
+	silentAt time.Time
 }
 
 // linkState is what the directory knows of an open link.
@@ -515,22 +518,42 @@
 	return all, domain
 }
 
-// Hosts returns the other hosts, sorted: those that have not stopped, whether reachable or
-// not, and those with a link that know workspaces, quotas and roll-outs.
-func (d *Directory) Hosts() (known, reached []mesh.HostID) {
+// silentLossDelay is the time within which the other end notices that a link has gone
+// silent, after this end has. Both close the link after linkTimeout, counted from reports
+// that are up to statusInterval apart and checked at each tickInterval.
+const silentLossDelay = statusInterval + 2*tickInterval + 100*time.Millisecond
+
+// Hosts are the other hosts of the mesh. Each list is sorted.
+type Hosts struct {
+	// Known holds those that have not stopped, whether reachable or not.
+	Known []mesh.HostID
+	// Reached holds those with a link that know workspaces, quotas and roll-outs.
+	Reached []mesh.HostID
+	// Silent holds those whose link went silent. They may not have noticed it yet, and may
+	// still be connected with others.
+	Silent []mesh.HostID
+}
+
+// Hosts returns the other hosts.
+func (d *Directory) Hosts() Hosts {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var h Hosts
+	now := time.Now()
 	for id, p := range d.peers {
 		if !p.stopped {
-			known = append(known, id)
+			h.Known = append(h.Known, id)
 		}
 		if state := d.links[d.manager.Link(id)]; state != nil && state.knowsWorkspaces {
-			reached = append(reached, id)
+			h.Reached = append(h.Reached, id)
+		} else if now.Sub(p.silentAt) < silentLossDelay {
+			h.Silent = append(h.Silent, id)
 		}
 	}
-	slices.Sort(known)
-	slices.Sort(reached)
-	return known, reached
+	slices.Sort(h.Known)
+	slices.Sort(h.Reached)
+	slices.Sort(h.Silent)
+	return h
 }
 
 // rebuildIndex rebuilds byService and hostCount. The caller holds the lock.
--- a/peers/links.go
+++ b/peers/links.go
@@ -123,6 +123,10 @@
 		p.nextDial = time.Now()
 		status := p.status.Swap(nil)
 		p.stopped = status != nil && status.Draining
+		p.silentAt = time.Time{}
+		if time.Since(l.LastReceived()) > staleAfter {
+			p.silentAt = time.Now()
+		}
 	}
 	d.rebuildIndex()
 	d.mu.Unlock()
--- a/quota/faults_test.go
+++ b/quota/faults_test.go
@@ -30,7 +30,7 @@
 	}
 	s := quota.New(others[0], testBound, 1, m.random, m.now)
 	s.SetPlan(m.limits, m.now)
-	s.SetHosts(others[1:], others[1:], true, m.now)
+	s.SetHosts(quota.Hosts{Known: others[1:], Reached: others[1:], Listed: true}, m.now)
 	for i := range m.hosts {
 		if hostName(i) == s.Owner(w) {
 			return i
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -50,11 +50,13 @@
 
 // modelLink is the link of a pair of hosts. Up is the view of each end.
 type modelLink struct {
-	cut   bool
-	up    [2]bool
-	epoch int
-	slow  boottime.Time
-	held  []func()
+	cut bool
+	up  [2]bool
+	// silentUntil is when an end takes a link that went silent as lost for the other one.
+	silentUntil [2]boottime.Time
+	epoch       int
+	slow        boottime.Time
+	held        []func()
 }
 
 type modelCall struct {
@@ -141,17 +143,19 @@
 		return
 	}
 	if !h.frozen {
-		var known, reached []mesh.HostID
+		hosts := quota.Hosts{Listed: true}
 		for j := range m.hosts {
 			if j == h.index {
 				continue
 			}
-			known = append(known, hostName(j))
+			hosts.Known = append(hosts.Known, hostName(j))
 			if l, end, _ := m.link(h.index, j); l.up[end] {
-				reached = append(reached, hostName(j))
+				hosts.Reached = append(hosts.Reached, hostName(j))
+			} else if m.now < l.silentUntil[end] {
+				hosts.Silent = append(hosts.Silent, hostName(j))
 			}
 		}
-		h.state.SetHosts(known, reached, true, m.now)
+		h.state.SetHosts(hosts, m.now)
 		h.state.Tick(m.now)
 		m.deliver(h)
 	}
@@ -180,6 +184,9 @@
 			return
 		}
 		l.up[end] = false
+		if after > 800*ms {
+			l.silentUntil[end] = m.now + time.Second
+		}
 		if !l.cut {
 			m.connect(observer, other)
 		}
--- a/quota/service.go
+++ b/quota/service.go
@@ -35,9 +35,8 @@
 	Logger hclog.Logger
 	// Number rises with each start of the host.
 	Number int64
-	// Hosts returns the other hosts of the mesh and those with a link, sorted, and whether
-	// the hosts have been listed.
-	Hosts func() (known, reached []mesh.HostID, listed bool)
+	// Hosts returns the other hosts of the mesh.
+	Hosts func() Hosts
 	// Send sends a message to a host without waiting.
 	Send func(to mesh.HostID, kind transport.Kind, body any) error
 }
@@ -118,10 +117,10 @@
 	if !active {
 		return
 	}
-	known, reached, listed := s.config.Hosts()
+	hosts := s.config.Hosts()
 	now := s.config.Clock()
 	s.mu.Lock()
-	s.state.SetHosts(known, reached, listed, now)
+	s.state.SetHosts(hosts, now)
 	s.state.Tick(now)
 	s.logState(now)
 	s.finish()
--- a/quota/state.go
+++ b/quota/state.go
@@ -79,7 +79,7 @@
 		bound: bound, random: random, hosts: newHosts(self, number), lastAt: now,
 		limits: map[mesh.WorkspaceName]Limit{}, owned: map[mesh.WorkspaceName]*ownedBucket{}, hands: map[mesh.WorkspaceName]*hand{},
 	}
-	s.SetHosts(nil, nil, false, now)
+	s.SetHosts(Hosts{}, now)
 	return s
 }
 
@@ -96,11 +96,10 @@
 	s.assignOwners(now)
 }
 
-// SetHosts replaces the hosts of the mesh, reachable or not, and those with a link that
-// know quotas. Both lists are sorted and not changed afterwards. Listed is set once the hosts of the mesh have been listed.
-func (s *State) SetHosts(known, reached []mesh.HostID, listed bool, now boottime.Time) {
+// SetHosts replaces the hosts of the mesh.
+func (s *State) SetHosts(hosts Hosts, now boottime.Time) {
 	s.advance(now)
-	if s.hosts.set(known, reached, listed, now) {
+	if s.hosts.set(hosts, now) {
 		s.assignOwners(now)
 		s.sendViews()
 	}
--- a/quota/state_test.go
+++ b/quota/state_test.go
@@ -22,7 +22,7 @@
 	s := &single{now: time.Hour}
 	s.State = quota.New("self", testBound, 1, rand.New(rand.NewPCG(1, 1)), s.now)
 	s.SetPlan(map[mesh.WorkspaceName]quota.Limit{"w": limit}, s.now)
-	s.SetHosts(known, reached, true, s.now)
+	s.SetHosts(quota.Hosts{Known: known, Reached: reached, Listed: true}, s.now)
 	return s
 }
 
@@ -79,11 +79,16 @@
 		others := []mesh.HostID{"a", "b", "c", "d", "e", "f", "g"}
 		s := newSingle(limit, others, others)
 		So(s.Owner("w"), ShouldNotEqual, "self")
-		s.SetHosts(others, nil, true, s.now)
-		s.pass(900 * ms)
+		s.SetHosts(quota.Hosts{Known: others, Silent: others, Listed: true}, s.now)
+		s.pass(3 * time.Second)
 		s.TakeOutput()
 		n, _ := s.admitted()
 		So(n, ShouldEqual, 0)
+		s.SetHosts(quota.Hosts{Known: others, Listed: true}, s.now)
+		s.pass(150 * ms)
+		s.TakeOutput()
+		n, _ = s.admitted()
+		So(n, ShouldEqual, 0)
 		s.pass(10 * time.Second)
 		n, _ = s.admitted()
 		So(n, ShouldBeBetween, 30, 300/8+2)
--- a/quota/views.go
+++ b/quota/views.go
@@ -12,20 +12,16 @@
 )
 
 const (
-	// ownerChangeDelay is the time for which a host's part of the quotas belongs to no
-	// owner after the host has lost another one. The lost owner notices the loss within
-	// it: both ends of a link close it after the same silence, and check that at
-	// different times within an interval of reports.
-	ownerChangeDelay = time.Second
-	// firstViewDelay is the same after the first view of a host. The owner before it is
-	// reachable, or is gone for longer.
-	firstViewDelay = 200 * time.Millisecond
+	// viewDelay is the time after which a view counts. The host has sent the view to its
+	// former owner as well, or that one is gone or has noticed that it lost the host. It
+	// exceeds the interval at which hosts look at their links.
+	viewDelay = 200 * time.Millisecond
 	// maxViews bounds the views of a host that are kept. It exceeds the changes that a host
-	// sends in ownerChangeDelay; the quota of one with more belongs to no owner.
-	maxViews = 32
+	// sends in viewDelay; the quota of one with more belongs to no owner.
+	maxViews = 8
 )
 
-// hostViews holds the views of a host that were valid in the last ownerChangeDelay.
+// hostViews holds the views of a host that were valid in the last viewDelay.
 type hostViews struct {
 	number int64
 	known  int
@@ -52,7 +48,7 @@
 	}
 	h.prune(now)
 	if len(h.views) >= maxViews {
-		h.unstableUntil = now + ownerChangeDelay
+		h.unstableUntil = now + viewDelay
 		h.views = h.views[1:]
 	}
 	unreached := slices.Clone(v.Unreached)
@@ -62,17 +58,17 @@
 	return true
 }
 
-// prune drops the views that were replaced before ownerChangeDelay.
+// prune drops the views that were replaced before viewDelay.
 func (h *hostViews) prune(now boottime.Time) {
-	for len(h.views) > 1 && now-h.views[1].from >= ownerChangeDelay {
+	for len(h.views) > 1 && now-h.views[1].from >= viewDelay {
 		h.views = h.views[1:]
 	}
 }
 
 // lacks reports whether the host has reached none of the given hosts for
-// ownerChangeDelay.
+// viewDelay.
 func (h *hostViews) lacks(hosts []uint64, now boottime.Time) bool {
-	if len(h.views) == 0 || now-h.firstAt < firstViewDelay || now < h.unstableUntil {
+	if len(h.views) == 0 || now-h.firstAt < viewDelay || now < h.unstableUntil {
 		return false
 	}
 	h.prune(now)
@@ -86,21 +82,36 @@
 	return true
 }
 
+// Hosts are the other hosts of the mesh. The lists are sorted, and not changed once they
+// are in use.
+type Hosts struct {
+	// Known holds those that have not stopped, whether reachable or not, Reached those
+	// with a link that know quotas, and Silent those whose link went silent and that may
+	// not have noticed it yet.
+	Known, Reached, Silent []mesh.HostID
+	// Listed is set once the hosts of the mesh have been listed.
+	Listed bool
+}
+
+func (h Hosts) equal(other Hosts) bool {
+	return h.Listed == other.Listed && slices.Equal(h.Known, other.Known) && slices.Equal(h.Reached, other.Reached) && slices.Equal(h.Silent, other.Silent)
+}
+
 // hosts is what a State knows of the hosts of the mesh.
 type hosts struct {
 	self mesh.HostID
 	// known holds the hosts of the mesh, whether reachable or not, and reached those with
 	// a link; both hold this host.
 	known, reached map[mesh.HostID]bool
-	// lastKnown and lastReached are the lists that these were made of.
-	lastKnown, lastReached []mesh.HostID
-	hashes                 map[mesh.HostID]uint64
-	views                  map[mesh.HostID]*hostViews
-	number                 int64
+	// silent holds the hosts whose link went silent, which may not have noticed it.
+	silent map[mesh.HostID]bool
+	// last are the hosts that these were made of.
+	last   Hosts
+	hashes map[mesh.HostID]uint64
+	views  map[mesh.HostID]*hostViews
+	number int64
 	// unsent are the reached hosts that do not have the latest view of this host.
 	unsent map[mesh.HostID]bool
-	// listed is set once the hosts of the mesh have been listed.
-	listed bool
 }
 
 func newHosts(self mesh.HostID, number int64) hosts {
@@ -110,18 +121,16 @@
 	}
 }
 
-// set replaces the known and the reached hosts, both sorted, and reports whether they
-// have changed.
-func (h *hosts) set(known, reached []mesh.HostID, listed bool, now boottime.Time) bool {
-	if len(h.views[h.self].views) > 0 && listed == h.listed && slices.Equal(known, h.lastKnown) && slices.Equal(reached, h.lastReached) {
+// set replaces the hosts and reports whether they have changed.
+func (h *hosts) set(next Hosts, now boottime.Time) bool {
+	if len(h.views[h.self].views) > 0 && next.equal(h.last) {
 		return false
 	}
-	nextKnown, nextReached := toSet(h.self, known), toSet(h.self, reached)
+	nextKnown, nextReached := toSet(h.self, next.Known), toSet(h.self, next.Reached)
 	for host := range nextReached {
 		nextKnown[host] = true
 	}
-	h.lastKnown, h.lastReached = known, reached
-	h.known, h.reached, h.listed = nextKnown, nextReached, listed
+	h.last, h.known, h.reached, h.silent = next, nextKnown, nextReached, toSet(h.self, next.Silent)
 	h.hashes = make(map[mesh.HostID]uint64, len(nextKnown))
 	for host := range nextKnown {
 		h.hashes[host] = membership.HostHash(host)
@@ -142,11 +151,12 @@
 	return true
 }
 
-// view returns the view of this host.
+// view returns the view of this host. A host whose link went silent is not stated as
+// unreached before it has noticed that: until then it counts this one.
 func (h *hosts) view() *View {
 	v := &View{Number: h.number, Known: len(h.known)}
 	for host, hash := range h.hashes {
-		if !h.reached[host] {
+		if !h.reached[host] && !h.silent[host] {
 			v.Unreached = append(v.Unreached, hash)
 		}
 	}
@@ -194,7 +204,7 @@
 			lenders++
 		}
 	}
-	if !h.listed && len(h.views) == 1 {
+	if !h.last.Listed && len(h.views) == 1 {
 		return 0
 	}
 	return float64(lenders) / float64(known)
