quota: repeat the same messages for the same inputs, cheaper changes of hosts

Cause: messages followed the order of maps, so that a seed of the model test did not repeat a run; and a change of the reachable hosts took 0.6 ms at 64 hosts and 75 workspaces, since owners were computed over maps.

--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -363,9 +363,11 @@
 func (m *model) fault(kind string, victims []int, d time.Duration) {
 	isVictim := func(i int) bool { return slices.Contains(victims, i) }
 	pairs := func(f func(a, b int)) {
-		for key := range m.links {
-			if isVictim(key[0]) != isVictim(key[1]) {
-				f(key[0], key[1])
+		for b := range m.hosts {
+			for a := range b {
+				if isVictim(a) != isVictim(b) {
+					f(a, b)
+				}
 			}
 		}
 	}
--- a/quota/state.go
+++ b/quota/state.go
@@ -45,8 +45,10 @@
 	limits map[mesh.WorkspaceName]Limit
 	owners map[mesh.WorkspaceName]mesh.HostID
 	// owned holds the buckets of the workspaces that this host owns in its own view.
-	owned  map[mesh.WorkspaceName]*ownedBucket
-	hands  map[mesh.WorkspaceName]*hand
+	owned map[mesh.WorkspaceName]*ownedBucket
+	hands map[mesh.WorkspaceName]*hand
+	// order holds the keys of hands, sorted, so that a State repeats what it does.
+	order  []mesh.WorkspaceName
 	calls  uint64
 	lastAt boottime.Time
 	// wantedAt is when views were last asked for.
@@ -87,12 +89,14 @@
 func (s *State) SetPlan(limits map[mesh.WorkspaceName]Limit, now boottime.Time) {
 	s.advance(now)
 	s.limits = limits
-	for w, h := range s.hands {
-		if _, ok := limits[w]; !ok {
-			s.reject(h, h.waiting, noOwnerRetry)
-			delete(s.hands, w)
+	s.order = slices.DeleteFunc(s.order, func(w mesh.WorkspaceName) bool {
+		if _, ok := limits[w]; ok {
+			return false
 		}
-	}
+		s.reject(s.hands[w], s.hands[w].waiting, noOwnerRetry)
+		delete(s.hands, w)
+		return true
+	})
 	s.assignOwners(now)
 }
 
@@ -194,6 +198,8 @@
 	if h == nil {
 		h = &hand{}
 		s.hands[w] = h
+		i, _ := slices.BinarySearch(s.order, w)
+		s.order = slices.Insert(s.order, i, w)
 	}
 	return h
 }
@@ -317,15 +323,15 @@
 func (s *State) Tick(now boottime.Time) {
 	s.advance(now)
 	s.updateParts(now)
-	for w, h := range s.hands {
-		s.tickHand(w, h, now)
+	for _, w := range s.order {
+		s.tickHand(w, s.hands[w], now)
 	}
 	s.sendViews()
 	if now-s.wantedAt >= viewWait {
 		s.wantedAt = now
-		for host := range s.hosts.reached {
-			if s.hosts.views[host] == nil {
-				s.out.Messages = append(s.out.Messages, Message{To: host, Demand: &Demand{Version: messageVersion, WantsView: true}})
+		for _, e := range s.hosts.list {
+			if e.reached && s.hosts.views[e.id] == nil {
+				s.out.Messages = append(s.out.Messages, Message{To: e.id, Demand: &Demand{Version: messageVersion, WantsView: true}})
 			}
 		}
 	}
@@ -354,7 +360,9 @@
 		return
 	}
 	view := s.hosts.view()
-	for host := range s.hosts.unsent {
+	unsent := lo.Keys(s.hosts.unsent)
+	slices.Sort(unsent)
+	for _, host := range unsent {
 		s.out.Messages = append(s.out.Messages, Message{To: host, Demand: &Demand{Version: messageVersion, View: view}})
 	}
 	clear(s.hosts.unsent)
--- a/quota/views.go
+++ b/quota/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -97,6 +98,13 @@
 	return h.Listed == other.Listed && slices.Equal(h.Known, other.Known) && slices.Equal(h.Reached, other.Reached) && slices.Equal(h.Silent, other.Silent)
 }
 
+// hostEntry is a known host.
+type hostEntry struct {
+	id      mesh.HostID
+	hash    uint64
+	reached bool
+}
+
 // hosts is what a State knows of the hosts of the mesh.
 type hosts struct {
 	self mesh.HostID
@@ -106,8 +114,9 @@
 	// silent holds the hosts whose link went silent, which may not have noticed it.
 	silent map[mesh.HostID]bool
 	// last are the hosts that these were made of.
-	last   Hosts
-	hashes map[mesh.HostID]uint64
+	last Hosts
+	// list holds the known hosts, sorted.
+	list   []hostEntry
 	views  map[mesh.HostID]*hostViews
 	number int64
 	// unsent are the reached hosts that do not have the latest view of this host.
@@ -116,7 +125,7 @@
 
 func newHosts(self mesh.HostID, number int64) hosts {
 	return hosts{
-		self: self, number: number, known: map[mesh.HostID]bool{}, reached: map[mesh.HostID]bool{}, hashes: map[mesh.HostID]uint64{},
+		self: self, number: number, known: map[mesh.HostID]bool{}, reached: map[mesh.HostID]bool{},
 		views: map[mesh.HostID]*hostViews{self: {}}, unsent: map[mesh.HostID]bool{},
 	}
 }
@@ -131,10 +140,11 @@
 		nextKnown[host] = true
 	}
 	h.last, h.known, h.reached, h.silent = next, nextKnown, nextReached, toSet(h.self, next.Silent)
-	h.hashes = make(map[mesh.HostID]uint64, len(nextKnown))
+	h.list = make([]hostEntry, 0, len(nextKnown))
 	for host := range nextKnown {
-		h.hashes[host] = membership.HostHash(host)
+		h.list = append(h.list, hostEntry{id: host, hash: membership.HostHash(host), reached: nextReached[host]})
 	}
+	slices.SortFunc(h.list, func(a, b hostEntry) int { return strings.Compare(string(a.id), string(b.id)) })
 	for host := range h.views {
 		if !nextReached[host] {
 			delete(h.views, host)
@@ -155,9 +165,9 @@
 // unreached before it has noticed that: until then it counts this one.
 func (h *hosts) view() *View {
 	v := &View{Number: h.number, Known: len(h.known)}
-	for host, hash := range h.hashes {
-		if !h.reached[host] && !h.silent[host] {
-			v.Unreached = append(v.Unreached, hash)
+	for _, e := range h.list {
+		if !e.reached && !h.silent[e.id] {
+			v.Unreached = append(v.Unreached, e.hash)
 		}
 	}
 	slices.Sort(v.Unreached)
@@ -169,10 +179,14 @@
 	item := xxhash.Sum64String(string(w))
 	var best mesh.HostID
 	var bestWeight uint64
-	for host := range h.reached {
-		weight := membership.RendezvousWeight(item, h.hashes[host])
-		if best == "" || weight > bestWeight || weight == bestWeight && host > best {
-			best, bestWeight = host, weight
+	for i := range h.list {
+		e := &h.list[i]
+		if !e.reached {
+			continue
+		}
+		weight := membership.RendezvousWeight(item, e.hash)
+		if best == "" || weight > bestWeight || weight == bestWeight && e.id > best {
+			best, bestWeight = e.id, weight
 		}
 	}
 	return best
@@ -181,11 +195,11 @@
 // preferred returns the hashes of the known hosts that precede this one as owner.
 func (h *hosts) preferred(w mesh.WorkspaceName) []uint64 {
 	item := xxhash.Sum64String(string(w))
-	own := membership.RendezvousWeight(item, h.hashes[h.self])
+	own := membership.RendezvousWeight(item, membership.HostHash(h.self))
 	var preferred []uint64
-	for host, hash := range h.hashes {
-		if weight := membership.RendezvousWeight(item, hash); weight > own || weight == own && host > h.self {
-			preferred = append(preferred, hash)
+	for _, e := range h.list {
+		if weight := membership.RendezvousWeight(item, e.hash); weight > own || weight == own && e.id > h.self {
+			preferred = append(preferred, e.hash)
 		}
 	}
 	return preferred
