--- a/quota/state.go
+++ b/quota/state.go
@@ -145,7 +145,7 @@
 func (s *State) advance(now boottime.Time) {
 	gap := now - s.lastAt
 	s.lastAt = max(s.lastAt, now)
-	if gap <= maxGap {
+	if gap <= maxGap || len(s.limits) == 0 { // Without limits there is nothing to empty.
 		return
 	}
 	s.Counters.Emptied++
@@ -167,9 +167,9 @@
 	s.calls++
 	d := Decision{Call: s.calls}
 	if _, ok := s.limits[w]; !ok {
-		// The plan of the call has just been replaced.
-		s.Counters.Rejected++
-		d.RetryAfter = noOwnerRetry
+		// The plan has just been replaced: the workspace has lost its limit, or gets it now.
+		s.Counters.Admitted++
+		d.Admitted = true
 		return d, true
 	}
 	h := s.handOf(w)
--- a/quota/state_test.go
+++ b/quota/state_test.go
@@ -129,6 +129,12 @@
 		So(d.Call, ShouldEqual, 0)
 		So(asks, ShouldEqual, 2)
 	})
+	Convey("the plan has just lifted the limit", t, func() {
+		s := newSingle(quota.Limit{CallsPerSecond: 100}, others, others)
+		s.SetPlan(nil, s.now)
+		d, decided := s.Acquire("w", s.now)
+		So(decided && d.Admitted, ShouldBeTrue)
+	})
 	Convey("the plan removes the workspace", t, func() {
 		s := newSingle(quota.Limit{CallsPerSecond: 100}, others, others)
 		_, decided := s.Acquire("w", s.now)
