placement: long responses leave their failure domain as its excess

Cause: a fixed price a byte decides for each call alone by reports that are up to 0.5 s old. Change: a call with a long body leaves if its caller gains more than the bytes cost and another domain has room: at once if a local endpoint has rejected it, otherwise with a share that follows the gain over 1.5 s. Calls whose bytes cost at most 0.15 of their value are placed as before.

--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -25,6 +25,7 @@
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/metrics"
 	"geraniumnotch.example/geraniumnotch/peers"
+	"geraniumnotch.example/geraniumnotch/placement"
 	"geraniumnotch.example/geraniumnotch/plansync"
 	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/responsesize"
@@ -164,7 +165,7 @@
 		Domain: s.FailureDomain, Headers: platform.Headers{}, Peers: n.directory, LocalGate: gate, Registration: n.registration, Clock: clock,
 		RetryBudget: retrybudget.New(s.RetryBudget, clock, n.directory.HostCount),
 		Sizes:       responsesize.New(), Buffers: buffers, RemoteByteCost: s.RemoteCostPerKB / 1024,
-		OnHedge: observer.hedged,
+		Domains: placement.NewDomains(), OnPlaced: observer.placed, OnHedge: observer.hedged,
 	}
 	n.ingress = ingress.New(ingress.Config{
 		Plan: &n.plan, Headers: platform.Headers{}, Clock: clock, Observer: observer, Forwarder: n.forwarder,
--- a/hostnode/observe.go
+++ b/hostnode/observe.go
@@ -14,6 +14,8 @@
 	"geraniumnotch.example/geraniumnotch/call"
 	"geraniumnotch.example/geraniumnotch/ingress"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
+	"geraniumnotch.example/geraniumnotch/mesh"
+	"geraniumnotch.example/geraniumnotch/placement"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
 
@@ -36,6 +38,7 @@
 	suppressed                               metric.Int64Counter
 	hedges                                   metric.Int64Counter
 	rejections                               metric.Int64Counter
+	placements                               metric.Int64Counter
 }
 
 // latencyBuckets are the bounds of the histograms in seconds, around the usual
@@ -49,7 +52,7 @@
 		failedLimit:   rate.NewLimiter(failedLinesPerSecond, failedLinesPerSecond),
 		attemptLimit:  rate.NewLimiter(attemptLinesPerSecond, attemptLinesPerSecond),
 	}
-	var errs [9]error
+	var errs [10]error
 	o.calls, errs[0] = meter.Int64Counter("host_calls", metric.WithDescription("calls of clients and of the endpoint by status and reason"))
 	o.duration, errs[1] = meter.Float64Histogram("host_call_seconds", latencyBuckets, metric.WithDescription("time from the head of a request to its answer"))
 	o.attempts, errs[2] = meter.Int64Counter("host_attempts", metric.WithDescription("attempts at the endpoint of the host by fate and reason"))
@@ -60,6 +63,7 @@
 	_, errs[6] = meter.Int64ObservableCounter("host_store_calls", metric.WithDescription("calls to the platform's store"), counterCallback(storeCalls))
 	o.hedges, errs[7] = meter.Int64Counter("host_hedges", metric.WithDescription("second attempts of idempotent calls while the first had no answer"))
 	o.rejections, errs[8] = meter.Int64Counter("host_rejections", metric.WithDescription("calls of workspaces that the local endpoint's queue rejected, by reason and rank"))
+	o.placements, errs[9] = meter.Int64Counter("host_placements", metric.WithDescription("choices of an endpoint by service, whether the call left its failure domain, and why"))
 	return o, errors.Join(errs[:]...)
 }
 
@@ -123,6 +127,11 @@
 // hedged counts a second attempt.
 func (o *observer) hedged() { o.hedges.Add(context.Background(), 1) }
 
+// placed counts a choice of an endpoint.
+func (o *observer) placed(service mesh.ServiceName, reason placement.Reason) {
+	o.placements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", string(service)), attribute.Bool("left", reason.Left()), attribute.String("reason", reason.String())))
+}
+
 // Attempted implements localendpoint.Observer.
 func (o *observer) Attempted(c *call.Call, e *localendpoint.Endpoint, r call.Result, queueDelay, serviceTime time.Duration) {
 	ctx := context.Background()
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -52,6 +52,10 @@
 	// value of a call.
 	RemoteByteCost float64
 
+	// Domains decides which calls leave the failure domain.
+	Domains *placement.Domains
+	// OnPlaced is called for each choice of an endpoint; nil ignores it.
+	OnPlaced func(service mesh.ServiceName, reason placement.Reason)
 	// OnHedge is called for each second attempt of a call while the first has no answer;
 	// nil ignores it.
 	OnHedge func()
@@ -255,7 +259,12 @@
 // chooseDestination returns the destination of the next attempt.
 func (s *callState) chooseDestination() (destination, bool) {
 	candidates, destinations := s.candidates()
-	i := placement.Choose(candidates, s.placementCall(), rand.Float64)
+	f := s.forwarder
+	class := slotqueue.Class{Kind: s.c.Kind, Rank: s.c.ClassRank, Nested: s.c.Nested}
+	i, reason := f.Domains.Choose(placement.ServiceClass{Service: s.c.Service, Class: class}, candidates, s.placementCall(), f.Clock(), rand.Float64)
+	if f.OnPlaced != nil {
+		f.OnPlaced(s.c.Service, reason)
+	}
 	if i < 0 {
 		return destination{}, false
 	}
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -23,6 +23,7 @@
 	"geraniumnotch.example/geraniumnotch/localendpoint"
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/peers"
+	"geraniumnotch.example/geraniumnotch/placement"
 	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/platform/standin"
 	"geraniumnotch.example/geraniumnotch/responsesize"
@@ -143,6 +144,7 @@
 		Plan: &ts.plan, Headers: platform.Headers{}, Clock: ts.clock, Observer: ts, RunningCalls: gate.RunningCalls,
 		LocalService: func() mesh.ServiceName { return "s" },
 		Forwarder: &ingress.Forwarder{
+			Domains: placement.NewDomains(),
 			Headers: platform.Headers{},
 			Domain:  "d", Peers: directory, LocalGate: gate, Registration: ts.registration, Clock: ts.clock,
 			RetryBudget: retrybudget.New(retrybudget.Bound{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}, ts.clock, func() int { return 1 }),
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -238,10 +238,20 @@
 	return free / c.serviceTime(typical)
 }
 
-// expectedValue returns the expected value of the call at the endpoint: the
-// probability of success within the latency target, and a little for a later
-// success, which is more the sooner it comes.
+// expectedValue returns the expected value of the call at the endpoint, less what is
+// subtracted for a remote domain.
 func (c *Candidate) expectedValue(typical estimate, call Call) float64 {
+	value := c.callerValue(typical, call)
+	if !c.SameDomain {
+		value *= call.remoteFactor()
+	}
+	return value
+}
+
+// callerValue returns the expected value for the caller: the probability of success
+// within the latency target, and a little for a later success, which is more the sooner
+// it comes.
+func (c *Candidate) callerValue(typical estimate, call Call) float64 {
 	serviceTime := c.serviceTime(typical)
 	occupancy := float64(c.Occupied+1) / c.usableSlots(typical)
 	queueingDelay := max(0, occupancy-1) * c.meanServiceTime(typical)
@@ -251,9 +261,6 @@
 	}
 	late := lateValue / (1 + (queueingDelay+serviceTime)/float64(typical.serviceTime))
 	value := (inTime + late) * (1 - c.FailureRatio) / (1 + occupancy/10)
-	if !c.SameDomain {
-		value *= call.remoteFactor()
-	}
 	if c.Stale {
 		value *= staleFactor
 	}
