slotqueue: reject overtaken calls before their deadline; placement: band for the share that leaves

Cause: calls of a workspace that others had overtaken waited 2.88 s of 3 s and were rejected then (5 % of the calls in the simulated floods), too late for a client retry. Change: such calls are rejected with a retry-after when they have missed their latency target, beyond half of the slots in number; calls leave by the share only with half of the gain that pays.

--- a/localendpoint/gate.go
+++ b/localendpoint/gate.go
@@ -88,7 +88,7 @@
 		}
 	}
 	if reason := g.waitForSlot(ctx, e, ticket); reason != "" {
-		return g.report(c, e, call.Result{Outcome: call.Rejected, Reason: reason}, g.clock()-arrived, 0)
+		return g.report(c, e, call.Result{Outcome: call.Rejected, Reason: reason, RetryAfter: ticket.RetryAfter()}, g.clock()-arrived, 0)
 	}
 	started := g.clock()
 	x := &exchange{gate: g, endpoint: e, call: c, remaining: deadline - started}
--- a/placement/domains.go
+++ b/placement/domains.go
@@ -14,7 +14,12 @@
 	// leavingTime is the time constant of the share of calls that leave the domain by
 	// reported loads. Reports are up to 0.5 s old, and hosts that follow them at once all
 	// leave or stay together until the next ones.
-	leavingTime = 1500 * time.Millisecond
+	leavingTime = time.Second
+	// stayGoneFraction is the fraction of the cost of the bytes that the gain must still
+	// have for calls to leave by the share, when leaving does not pay at the moment. With
+	// any gain, an eighth more calls leave than their domain has in excess while its load
+	// falls (docs/design/domains.md).
+	stayGoneFraction = 0.5
 	// maxLeavingWeight is the highest weight of one call in that share, so that single
 	// calls of a rarely used route do not turn it.
 	maxLeavingWeight = 0.2
@@ -80,8 +85,8 @@
 	sweptAt boottime.Time
 }
 
-// leavingShare is the moving average of the share of calls for which leaving pays. As many
-// leave, also while the latest report says otherwise, so that hosts which get the same
+// leavingShare is the moving average of the share of calls for which leaving pays. By it
+// calls leave also while the latest report says otherwise, so that hosts which get the same
 // reports do not leave and stay together.
 type leavingShare struct {
 	value     float64
@@ -116,12 +121,13 @@
 		return chooseByValue(candidates, call, random)
 	}
 	// Bytes do not outweigh a caller that gets no answer in the local domain.
-	pays := o.remote >= 0 && (o.local < 0 || o.remoteValue-o.localValue > call.byteCost())
+	gain := o.remoteValue - o.localValue
+	pays := o.remote >= 0 && (o.local < 0 || gain > call.byteCost())
 	share := d.update(key, pays, now)
 	switch {
 	case pays && o.rejected:
 		return o.remote, LeftAsExcess
-	case o.remote >= 0 && random() < share:
+	case o.remote >= 0 && gain > stayGoneFraction*call.byteCost() && random() < share:
 		return o.remote, LeftByLoad
 	case o.local >= 0 && o.remote < 0:
 		return o.local, RemoteFull
--- a/slotqueue/fairness.go
+++ b/slotqueue/fairness.go
@@ -329,6 +329,35 @@
 	return sameRank + nested + max(0, int(math.Ceil(owed*float64(ranks)/lessUrgentShare)))
 }
 
+// rejectOvertaken rejects the calls of workspaces that have missed their latency target
+// while others went before them, beyond maxLateFraction. These would wait in vain until
+// their deadline; now their clients can still retry.
+func (q *Queue) rejectOvertaken(now boottime.Time) {
+	if q.fair.workspaces == 0 {
+		return
+	}
+	for {
+		late, last := 0, -1
+		for i, t := range q.waiting {
+			if t.call.Class.Nested || t.call.Workspace == "" || t.preparing || !q.isLate(t, now) {
+				continue
+			}
+			late++
+			if last < 0 || q.goesBefore(q.waiting[last], t, now) {
+				last = i
+			}
+		}
+		if float64(late) <= maxLateFraction*float64(q.slots) {
+			return
+		}
+		t := q.waiting[last]
+		rejection := q.rejectFull(t, 0, now)
+		q.removeWaiting(last)
+		t.retryAfter = rejection.RetryAfter
+		q.reject(t, rejection.Reason)
+	}
+}
+
 // ServedShares returns the fraction of the recent calls that were started, and that of
 // the workspace with the lowest one relative to it, 1 if no workspace has enough calls.
 func (q *Queue) ServedShares(now boottime.Time) (all, least float64) {
--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -97,6 +97,8 @@
 	preparing bool
 	hasSlot   bool
 	reason    string
+	// retryAfter is set with the reason of a call that others have overtaken.
+	retryAfter time.Duration
 }
 
 // Ready delivers one value: true when the call got a slot, false when it was
@@ -106,6 +108,10 @@
 // Reason says why a waiting call was rejected. It is set before Ready delivers.
 func (t *Ticket) Reason() string { return t.reason }
 
+// RetryAfter is the time after which a client retry of a rejected call may find a free
+// slot, 0 when unknown.
+func (t *Ticket) RetryAfter() time.Duration { return t.retryAfter }
+
 // Rejection is the reason of a rejection and the time after which a client retry
 // may find a free slot.
 type Rejection struct {
@@ -346,6 +352,7 @@
 // longer finish before their deadline.
 func (q *Queue) dispatch(now boottime.Time) {
 	defer q.wakeForStart(now)
+	defer q.rejectOvertaken(now)
 	for q.mayStart(now) {
 		best := q.nextToStart(now)
 		if best < 0 {
