--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -28,6 +28,7 @@
 	"geraniumnotch.example/geraniumnotch/mesh"
 	"geraniumnotch.example/geraniumnotch/metrics"
 	"geraniumnotch.example/geraniumnotch/peers"
+	"geraniumnotch.example/geraniumnotch/placement"
 	"geraniumnotch.example/geraniumnotch/plansync"
 	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/quota"
@@ -204,7 +205,7 @@
 		Domain: s.FailureDomain, Headers: platform.Headers{}, Peers: n.directory, LocalGate: gate, Registration: n.registration, Clock: clock,
 		RetryBudget: retrybudget.New(s.RetryBudget, clock, n.directory.HostCount),
 		Sizes:       responsesize.New(), Buffers: buffers, RemoteByteCost: s.RemoteCostPerKB / 1024,
-		HostLink: n.hostLink, OnHedge: observer.hedged,
+		HostLink: n.hostLink, Domains: placement.NewDomains(), OnPlaced: observer.placed, OnHedge: observer.hedged,
 	}
 	if n.rollouts != nil {
 		n.rollouts.directory = n.directory
