Count long responses on the link of the caller's host

Cause: clients of one host can ask for more than its link carries; the responses then arrive late, and answers to its endpoint's nested calls wait behind them. Change: before each attempt elsewhere the ingress reserves the expected response on this host's own link, by the same decision, and rejects the call with link_full when it could not arrive in time.

--- a/hostlink/link.go
+++ b/hostlink/link.go
@@ -68,6 +68,9 @@
 	// timerSet is set while a timer calls dispatch.
 	timerSet bool
 	promises promises
+	// incoming are the long responses of other hosts that calls of this host wait for. Their
+	// number is bounded by the calls of its clients and of its endpoint.
+	incoming promises
 	// meanBytes is the mean length of long responses, meanReady the mean time until they
 	// are ready; 0 when unknown.
 	meanBytes float64
@@ -362,12 +365,30 @@
 		return
 	}
 	t.listed = false
-	for i, p := range l.promises {
-		if p == &t.promise {
-			last := len(l.promises) - 1
-			l.promises[i], l.promises[last] = l.promises[last], nil
-			l.promises = l.promises[:last]
-			return
-		}
+	l.promises.remove(&t.promise)
+}
+
+// ReserveIncoming decides whether a long response of another host, which is expected after
+// readyIn, can still arrive by this host's link in time. If not, the call must not be sent,
+// and retryAfter is when the link is expected to have room. Release must be called when the
+// response has arrived or will not. Its load: clients of one host that ask for more than
+// its link carries.
+func (l *Link) ReserveIncoming(need Need, bytes int64, readyIn time.Duration) (release func(), retryAfter time.Duration, fits bool) {
+	if !l.Enabled() || bytes <= LongBytes {
+		return func() {}, 0, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.config.Clock()
+	x := &promise{need: need, bytes: float64(bytes), readyAt: now + readyIn}
+	if retryAfter, fits = l.incoming.admit(x, l.rate.limit, now, rand.Float64); !fits {
+		l.refused++
+		return func() {}, retryAfter, false
 	}
+	l.incoming = append(l.incoming, x)
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.incoming.remove(x)
+	}, 0, true
 }
--- a/hostlink/link_test.go
+++ b/hostlink/link_test.go
@@ -114,3 +114,43 @@
 		So(fits(), ShouldBeTrue)
 	})
 }
+
+// Guards against clients of one host that ask for more than its link carries, and against
+// nested calls that are refused for it while they can be answered.
+func TestIncomingResponsesAreBounded(t *testing.T) {
+	inBubble(t, "responses worth twice the link", func(l *Link, clock boottime.Clock) {
+		need := Need{Rank: 1, TargetBy: clock() + time.Second, DeadlineBy: clock() + 3*time.Second}
+		ask := func(n Need) (func(), bool) {
+			release, retryAfter, fits := l.ReserveIncoming(n, 100_000, 50*time.Millisecond)
+			So(retryAfter > 0, ShouldNotEqual, fits)
+			return release, fits
+		}
+		for range 20 {
+			_, fits := ask(need)
+			So(fits, ShouldBeTrue)
+		}
+		l.SetEnabled(true)
+		var release func()
+		begun := 0
+		for range 20 {
+			if r, fits := ask(need); fits {
+				release = r
+				begun++
+			}
+		}
+		So(begun, ShouldBeBetween, 7, 10)
+		nested := need
+		nested.Nested = true
+		_, fits := ask(nested)
+		So(fits, ShouldBeTrue)
+		release()
+		release()
+		_, fits = ask(need)
+		So(fits, ShouldBeFalse)
+		Convey("there is room again once enough have arrived", func() {
+			l.incoming = nil
+			_, fits = ask(need)
+			So(fits, ShouldBeTrue)
+		})
+	})
+}
--- a/hostlink/promises.go
+++ b/hostlink/promises.go
@@ -38,6 +38,13 @@
 // calls that the gate accepts.
 type promises []*promise
 
+// remove removes a promise, if it is there.
+func (p *promises) remove(x *promise) {
+	if i := slices.Index(*p, x); i >= 0 {
+		*p = slices.Delete(*p, i, i+1)
+	}
+}
+
 // finish returns when a response would have left, by the promises that leave before it.
 func (p promises) finish(x *promise, rate float64, now boottime.Time) boottime.Time {
 	ahead := make(promises, 0, len(p)+1)
@@ -76,12 +83,17 @@
 // returns after which time the link is expected to have room, within what clients honour.
 // Its load: long responses worth more than the link carries.
 func (p promises) admit(x *promise, rate float64, now boottime.Time, random func() float64) (time.Duration, bool) {
-	if p.finish(x, rate, now)+deliveryMargin <= x.need.TargetBy {
+	limit := x.need.TargetBy
+	if x.need.Nested {
+		// Without the response the call that waits for it fails.
+		limit = x.need.DeadlineBy
+	}
+	if p.finish(x, rate, now)+deliveryMargin <= limit {
 		return 0, true
 	}
 	remaining := x.need.DeadlineBy - now
 	alone := max(now, x.readyAt) + transferTime(x.bytes, rate) + deliveryMargin
-	if alone > x.need.TargetBy {
+	if alone > limit {
 		// The call misses its target anyhow and gets the room that is left over. One that
 		// misses it only for the responses before it would make the next ones late, too.
 		late := *x
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -32,6 +33,8 @@
 
 // fixture is a store with nodes and endpoints beside them, all on loopback.
 type fixture struct {
+	// linkMbps is the bandwidth of the next hosts, 0 for defaultLinkMbps.
+	linkMbps float64
 	system
 	// network is nil for a fixture on loopback.
 	network *faultnet.Network
@@ -44,6 +47,7 @@
 }
 
 type fixtureHost struct {
+	linkMbps float64
 	fixture  *fixture
 	name     string
 	address  map[string]string
@@ -128,7 +132,7 @@
 
 // addHost starts a host with an endpoint that answers with the name of its host.
 func (f *fixture) addHost(name, service string) *fixtureHost {
-	h := &fixtureHost{fixture: f, name: name, address: map[string]string{}, executions: map[string]int{}}
+	h := &fixtureHost{fixture: f, name: name, linkMbps: cmp.Or(f.linkMbps, defaultLinkMbps), address: map[string]string{}, executions: map[string]int{}}
 	number := hostCounter.Add(1)
 	for i, use := range []string{"endpoint", "calls", "peers", "ready", "announcements", "metrics"} {
 		h.address[use] = reservedAddress(number, i)
@@ -178,7 +182,7 @@
 func (h *fixtureHost) path() string { return filepath.Join(h.fixture.dir, h.name+".ini") }
 
 func (h *fixtureHost) writeSettings(service string) {
-	text := fmt.Sprintf(settingsText, h.name, service, h.address["endpoint"], h.address["calls"], h.address["peers"],
+	text := fmt.Sprintf(settingsText, h.name, h.linkMbps, service, h.address["endpoint"], h.address["calls"], h.address["peers"],
 		h.address["ready"], h.address["announcements"], h.address["metrics"], h.fixture.store.Address())
 	if err := os.WriteFile(h.path(), []byte(text), 0o600); err != nil {
 		panic(err)
@@ -196,11 +200,14 @@
 	h.node = n
 }
 
+// defaultLinkMbps is a bandwidth that no test uses up.
+const defaultLinkMbps = 1000
+
 const settingsText = `[host]
 name = %s
 failure-domain = d
 memory-mb = 200
-link-mbps = 1000
+link-mbps = %g
 [endpoint]
 service = %s
 address = %s
@@ -890,7 +897,7 @@
 // Guards against problems in settings that are reported one at a time, or not at
 // all.
 func TestSettings(t *testing.T) {
-	good := fmt.Sprintf(settingsText, "h", "s", "10.0.0.1:1", "10.0.0.1:2", "10.0.0.1:3", "10.0.0.1:4", "10.0.0.1:5", "10.0.0.1:6", "10.0.0.1:7")
+	good := fmt.Sprintf(settingsText, "h", float64(defaultLinkMbps), "s", "10.0.0.1:1", "10.0.0.1:2", "10.0.0.1:3", "10.0.0.1:4", "10.0.0.1:5", "10.0.0.1:6", "10.0.0.1:7")
 	Convey("valid settings", t, func() {
 		s, err := ParseSettings([]byte(good))
 		So(err, ShouldBeNil)
--- a/hostnode/observe.go
+++ b/hostnode/observe.go
@@ -73,7 +73,7 @@
 		}))
 		return err
 	}
-	_, err := meter.Int64ObservableCounter("host_outgoing_refused", metric.WithDescription("calls of other hosts that were not executed because their long response would not have left in time"),
+	_, err := meter.Int64ObservableCounter("host_outgoing_refused", metric.WithDescription("calls that were not executed because their long response would not have left in time by this host's link, or not have arrived by it"),
 		counterCallback(func() int64 { return l.Stats().Refused }))
 	return errors.Join(err,
 		gauge("host_outgoing_waiting_bytes", "bytes of long responses that wait for the host's link", func(s hostlink.Stats) int64 { return s.WaitingBytes }),
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -147,10 +147,15 @@
 	if !found {
 		return s.exhaustedResult(), false
 	}
+	release, fits := s.reserveIncoming(next)
+	if !fits {
+		return s.exhaustedResult(), false
+	}
 	r := s.run(ctx, next)
 	if r.Outcome == call.Answered {
 		r = s.receive(ctx, r)
 	}
+	release()
 	switch {
 	case ctx.Err() != nil && r.Outcome != call.Answered:
 		return call.Result{Outcome: call.Expired, Reason: r.Reason, Sent: r.Sent}, false
@@ -271,6 +276,20 @@
 	return destinations[i], true
 }
 
+// reserveIncoming reserves a long response of another host on the link of this one. If there
+// is no room, it records the rejection and reports false.
+func (s *callState) reserveIncoming(from destination) (release func(), fits bool) {
+	if from.host == localHost {
+		return func() {}, true
+	}
+	need := hostlink.Need{Nested: s.c.Nested, Rank: s.c.Rank, TargetBy: s.targetBy, DeadlineBy: s.deadline}
+	release, retryAfter, fits := s.forwarder.HostLink.ReserveIncoming(need, s.c.ResponseBytes, from.expectedTime)
+	if !fits {
+		s.rejected = longerRetryAfter(s.rejected, call.Result{Outcome: call.Rejected, Reason: call.ReasonLinkFull, RetryAfter: retryAfter})
+	}
+	return release, fits
+}
+
 // rejectByLink records that a call is rejected because the links of all hosts that could
 // answer it are full for longer than it has time.
 func (s *callState) rejectByLink(candidates []placement.Candidate) {
