--- a/hostnode/rollout.go
+++ b/hostnode/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -62,10 +63,12 @@
 	pendingRead boottime.Time
 	// readBegan is when the latest read of the orders by this host began.
 	readBegan boottime.Time
-	// decider is the host that decides, as last heard at deciderAt.
-	decider   mesh.HostID
-	deciderAt boottime.Time
-	evidence  map[mesh.ServiceName]*orderEvidence
+	startedAt boottime.Time
+	// decider is the host that decides, as last heard at deciderAt; at readerAt one that
+	// decides and reads the store was heard.
+	decider             mesh.HostID
+	deciderAt, readerAt boottime.Time
+	evidence            map[mesh.ServiceName]*orderEvidence
 	// applied holds the steps that the other hosts follow.
 	applied map[mesh.HostID][]rollout.Applied
 	// greeted are the reachable hosts that know the states of this one.
@@ -92,13 +95,15 @@
 }
 
 func newRolloutKeeper(n *Node, bounds rollout.Bounds, planDeadline time.Duration) *rolloutKeeper {
-	return &rolloutKeeper{
-		clock: n.clock, store: n.store, logger: n.logger, bounds: bounds, table: rollout.NewTable(bounds, n.clock), tally: rollout.NewTally(),
+	k := &rolloutKeeper{
+		clock: n.clock, store: n.store, logger: n.logger, bounds: bounds, startedAt: n.clock(), tally: rollout.NewTally(),
 		registration: n.registration, freshRead: time.Duration(freshReadFraction * float64(planDeadline)),
 		orders: map[mesh.ServiceName]platform.Revision{}, pending: map[mesh.ServiceName]rollout.State{},
 		evidence: map[mesh.ServiceName]*orderEvidence{}, applied: map[mesh.HostID][]rollout.Applied{}, greeted: map[mesh.HostID]bool{},
 		statuses: map[mesh.ServiceName]platform.Revision{}, begun: map[mesh.ServiceName]rollout.Revision{},
 	}
+	k.table = rollout.NewTable(bounds, n.clock, func() int { return k.directory.HostCount() }, rand.Float64)
+	return k
 }
 
 // run looks at the roll-outs until ctx ends.
@@ -187,6 +192,10 @@
 		k.reportToDecider(states, now, false)
 		return
 	}
+	role := rollout.DecidesAlone
+	if k.hasRead(now) {
+		role = rollout.Decides
+	}
 	k.addReport(k.report(states), now)
 	changed := false
 	for _, s := range states {
@@ -194,10 +203,15 @@
 	}
 	if changed || (running || k.mixed) && now-k.saidAt >= rolloutRepeatInterval {
 		k.saidAt = now
-		k.tellAll(reachable)
+		k.tellAll(reachable, role)
 	}
 }
 
+// hasRead reports whether this host has read the orders just now. The caller holds the lock.
+func (k *rolloutKeeper) hasRead(now boottime.Time) bool {
+	return k.readBegan != 0 && now-k.readBegan < k.freshRead
+}
+
 // endpoints returns the endpoints of all reachable hosts and of this one.
 func (k *rolloutKeeper) endpoints() []*peers.EndpointStatus {
 	endpoints := k.directory.Endpoints()
@@ -225,13 +239,18 @@
 	})
 }
 
-// decides reports whether this host decides: it reads the orders, or hears of no host that
-// does. The caller holds the lock.
+// decides reports whether this host decides: the first one that can read the store, or else
+// the first one. A host that has just started has not heard of all others. The caller holds
+// the lock.
 func (k *rolloutKeeper) decides(now boottime.Time, rank int, running bool) bool {
-	if k.readBegan != 0 && now-k.readBegan < k.freshRead {
-		return true
+	silence := rolloutSilence + time.Duration(rank)*rolloutRankDelay
+	switch {
+	case now-k.startedAt < silence:
+		return false
+	case k.hasRead(now):
+		return rank == 0 || now-k.readerAt >= silence
 	}
-	return running && now-k.deciderAt >= rolloutSilence+time.Duration(rank)*rolloutRankDelay
+	return running && now-k.deciderAt >= silence
 }
 
 // countAnswers has the answers of the local endpoint counted while its service is rolled
@@ -279,7 +298,7 @@
 func (k *rolloutKeeper) greet(reachable []mesh.HostID, states []rollout.State) {
 	greeted := map[mesh.HostID]bool{}
 	for _, host := range reachable {
-		greeted[host] = k.greeted[host] || len(states) == 0 || k.send(host, k.message(false)) == nil
+		greeted[host] = k.greeted[host] || len(states) == 0 || k.send(host, k.message(rollout.Follows)) == nil
 	}
 	k.greeted = greeted
 	if len(states) == 0 {
@@ -294,9 +313,9 @@
 }
 
 // message returns what this host knows. The caller holds the lock.
-func (k *rolloutKeeper) message(decides bool) rollout.Message {
+func (k *rolloutKeeper) message(role rollout.Role) rollout.Message {
 	now := k.clock()
-	m := rollout.Message{ReadAge: k.table.ReadAge(), Decides: decides}
+	m := rollout.Message{ReadAge: k.table.ReadAge(), Role: role}
 	for _, s := range k.table.States() {
 		m.States = append(m.States, s.Export(now))
 	}
@@ -308,7 +327,7 @@
 func (k *rolloutKeeper) introduction() *rollout.Message {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if m := k.message(false); len(m.States) > 0 {
+	if m := k.message(rollout.Follows); len(m.States) > 0 {
 		return &m
 	}
 	return nil
@@ -320,8 +339,8 @@
 
 // tellAll sends the states to all reachable hosts. One that does not get them gets the next
 // ones. The caller holds the lock.
-func (k *rolloutKeeper) tellAll(reachable []mesh.HostID) {
-	m := k.message(true)
+func (k *rolloutKeeper) tellAll(reachable []mesh.HostID, role rollout.Role) {
+	m := k.message(role)
 	for _, host := range reachable {
 		k.greeted[host] = k.send(host, m) == nil
 	}
@@ -379,8 +398,11 @@
 	for _, s := range k.table.RecordMessage(message) {
 		k.logState(s, string(from))
 	}
-	if message.Decides {
+	if message.Role != rollout.Follows {
 		k.decider, k.deciderAt = from, now
+		if message.Role == rollout.Decides {
+			k.readerAt = now
+		}
 		k.reportToDecider(k.table.States(), now, true)
 	}
 	if message.Report != nil {
@@ -459,7 +481,7 @@
 }
 
 func (k *rolloutKeeper) input(s *rollout.State, endpoints []*peers.EndpointStatus, reachable []mesh.HostID, now boottime.Time) rollout.Input {
-	in := rollout.Input{Now: now, Bounds: k.bounds, Applied: true, StoreAnswers: k.readBegan != 0 && now-k.readBegan < k.freshRead}
+	in := rollout.Input{Now: now, Bounds: k.bounds, Applied: true, StoreAnswers: k.hasRead(now)}
 	if !s.IsFinal() {
 		in.Verdict = k.evidenceOn(s).Judge(now)
 	}
@@ -554,7 +576,7 @@
 		}
 	}
 	if k.merge(s, "store") {
-		k.tellAll(k.directory.Reachable())
+		clear(k.greeted) // The others are told with the next tick.
 	}
 }
 
@@ -601,6 +623,6 @@
 		s = *current
 	}
 	if k.merge(rollout.RecordStored(s, phase, now), "store") {
-		k.tellAll(k.directory.Reachable())
+		clear(k.greeted)
 	}
 }
--- a/hostnode/settings.go
+++ b/hostnode/settings.go
@@ -114,6 +114,9 @@
 	}
 	if p.values["bounds.exposure-share"].Text != "" {
 		s.Rollout = &rollout.Bounds{Share: p.fraction("bounds", "exposure-share")}
+		if p.values["bounds.exposure-slack"].Text != "" {
+			s.Rollout.Slack = p.fraction("bounds", "exposure-slack")
+		}
 		if s.Rollout.Share > 1 {
 			p.addProblem("bounds", "exposure-share", "a number from 0 to 1")
 		}
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -280,7 +280,17 @@
 
 // allows reports whether the call may go to an endpoint of a software version.
 func (s *callState) allows(software string, endpoint mesh.EndpointID) bool {
-	return s.versions == nil || s.versions.Allows(software, endpoint, len(s.excluded) == 0 && !s.versionUnavailable)
+	if s.versions == nil {
+		return true
+	}
+	attempt := rollout.First
+	switch {
+	case s.versionUnavailable || s.rejections > 0:
+		attempt = rollout.AfterRejection
+	case len(s.excluded) > 0:
+		attempt = rollout.Again
+	}
+	return s.versions.Allows(software, endpoint, attempt)
 }
 
 func (s *callState) placementCall() placement.Call {
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -18,19 +18,15 @@
 	concentrateUntil = 0.4
 	// verifyUntil is when the calls move to a version that has shown no fault. The rest is
 	// for the move and for a store that does not answer for some seconds.
-	verifyUntil = 0.6
+	verifyUntil = 0.55
 	// verifySuspectUntil is the same for a version with too few answers, or that may be worse.
-	verifySuspectUntil = 0.7
+	verifySuspectUntil = 0.65
 	// completeUntil is when the status is written even if hosts have not confirmed that
 	// they follow.
 	completeUntil = 0.9
 )
 
 const (
-	// firstShare is the part of the permitted share that the version gets until it has
-	// firstAnswers answers, so that callers meet few faults of a version that fails at once.
-	firstShare   = 0.4
-	firstAnswers = 30
 	// shareMargin is the part of the permitted share that is used. Some calls are counted
 	// as sent and never arrive.
 	shareMargin = 0.9
@@ -40,12 +36,12 @@
 	// enoughAnswers is the number of answers without a fault that shows a version that fails
 	// for a tenth of the calls with a probability of 0.998.
 	enoughAnswers = 60
-	// shiftInterval is the least time between two steps of the move: a report of the
-	// answers takes half of it.
-	shiftInterval = 800 * time.Millisecond
+	// shiftInterval is the least time between two steps of the move. The endpoints report
+	// their answers meanwhile.
+	shiftInterval = 600 * time.Millisecond
 	// maxDrainWait bounds how long calls in flight at the earlier versions are awaited
 	// before these are ended.
-	maxDrainWait = 2 * time.Second
+	maxDrainWait = 1500 * time.Millisecond
 )
 
 // shiftShares are the shares of the steps in which the calls move.
@@ -55,6 +51,8 @@
 type Bounds struct {
 	// Share is the share of the calls that a version may get before it is known to be good.
 	Share float64
+	// Slack is the number of calls beyond that share which the operator accepts.
+	Slack float64
 }
 
 // TargetEndpoint is an endpoint of the target version.
@@ -147,10 +145,6 @@
 		return s.step(in.Now, Shifting, shiftShares[0], nil)
 	}
 	share := in.Bounds.Share * shareMargin
-	if in.Verdict.Answers.Total < firstAnswers || in.Verdict.Suspect && s.Share < share {
-		share *= firstShare
-	}
-	share = max(share, s.Share)
 	trial := s.Trial
 	if progress >= concentrateUntil {
 		trial = nil
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -118,12 +118,24 @@
 	// when the sender knows of none.
 	ReadAge time.Duration
 	States  []State
-	// Decides is set when the sender decides.
-	Decides bool
+	Role    Role
 	// Report is set in the answer to a host that decides.
 	Report *Report
 }
 
+// Role is what the sender of a message does.
+type Role uint8
+
+// Roles of hosts.
+const (
+	// Follows means that the host follows the decisions of another one.
+	Follows Role = iota
+	// DecidesAlone means that the host decides but cannot read the store.
+	DecidesAlone
+	// Decides means that the host decides and reads the store.
+	Decides
+)
+
 // Report is what a host tells the one that decides.
 type Report struct {
 	_ struct{} `cbor:",toarray"`
--- a/rollout/table.go
+++ b/rollout/table.go
@@ -34,8 +34,11 @@
 // Table holds what a host knows about the versions of the services, and decides for each of
 // its calls which of them it may go to. It is safe for concurrent use.
 type Table struct {
-	bounds Bounds
-	clock  boottime.Clock
+	bounds    Bounds
+	clock     boottime.Clock
+	createdAt boottime.Time
+	// initialCredit returns the credit with which a host begins.
+	initialCredit func() float64
 
 	mu       sync.Mutex
 	services map[mesh.ServiceName]*service
@@ -48,8 +51,8 @@
 	state    *State
 	versions map[string]*version
 	// credit is the number of calls that may go to the target version. It grows by the share
-	// with each call of the service that is sent, and begins at 0: so the version never gets
-	// more than its share of the calls of any host, nor of all.
+	// with each call of the service that is sent, so that the version never gets more than
+	// its share of the calls of any host, nor of all, beyond the credit at the beginning.
 	credit float64
 	sent   int64
 	// exposed counts the calls that went to the target version first.
@@ -62,11 +65,19 @@
 	established bool
 }
 
-// NewTable returns a table without versions.
-func NewTable(bounds Bounds, clock boottime.Clock) *Table {
-	return &Table{bounds: bounds, clock: clock, services: map[mesh.ServiceName]*service{}}
+// NewTable returns a table without versions. Hosts returns the number of hosts, and random
+// numbers in [0, 1).
+func NewTable(bounds Bounds, clock boottime.Clock, hosts func() int, random func() float64) *Table {
+	return &Table{bounds: bounds, clock: clock, createdAt: clock(), services: map[mesh.ServiceName]*service{}, initialCredit: func() float64 {
+		return random() * min(1, slackUse*bounds.Slack/float64(max(1, hosts())))
+	}}
 }
 
+// slackUse is the part of the accepted slack that all hosts together begin with. Hosts send
+// few calls each, so that without it the first calls would reach the version late. The rest
+// is for calls in flight when a version is withdrawn.
+const slackUse = 0.6
+
 func (t *Table) service(name mesh.ServiceName) *service {
 	s := t.services[name]
 	if s == nil {
@@ -157,16 +168,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.service(s.Service)
+	if known.state == nil || known.state.Order.Before(s.Order) {
+		known.credit = 0
+		// A process that began after the order replaces one that has used its credit.
+		if t.createdAt < s.Started {
+			known.credit = t.initialCredit()
+		}
+	}
 	if known.state == nil {
 		known.state = &s
-		known.credit = 0
 		return s, true
 	}
 	merged := Merge(*known.state, s)
 	differs := merged.Order != known.state.Order || merged.Phase != known.state.Phase || merged.Step != known.state.Step || merged.Stored != known.state.Stored
-	if merged.Order != known.state.Order {
-		known.credit = 0
-	}
 	known.state = &merged
 	return merged, differs
 }
@@ -262,24 +276,41 @@
 	return 0
 }
 
-// Allows reports whether the call may go to an endpoint. First is set for its first
-// attempt: later ones do not try a version that is being verified.
-func (c *Choice) Allows(software string, endpoint mesh.EndpointID, first bool) bool {
+// Attempt says which attempt of a call is to be made.
+type Attempt uint8
+
+// Attempts of a call.
+const (
+	// First is the first one.
+	First Attempt = iota
+	// Again follows an attempt that failed or has no answer yet.
+	Again
+	// AfterRejection follows an attempt that no endpoint has received.
+	AfterRejection
+)
+
+// Allows reports whether an attempt may go to an endpoint. Only first attempts try a version
+// that is being verified. While all calls move to the target version, those that find no
+// slot there may use the earlier ones.
+func (c *Choice) Allows(software string, endpoint mesh.EndpointID, attempt Attempt) bool {
 	if c.state != nil && software == c.state.Target {
-		return c.allowsTarget(endpoint, first)
+		return c.allowsTarget(endpoint, attempt)
 	}
 	isOld := c.state != nil && slices.Contains(c.state.Old, software)
 	if c.state != nil && c.state.Phase == Completed && isOld {
 		return false
 	}
-	if c.exposed && first {
+	if c.exposed && attempt == First {
 		return c.state == nil && slices.Contains(c.overdue, software)
 	}
+	if c.exposed && attempt == Again && c.state != nil && c.state.Share >= 1 {
+		return false
+	}
 	// A host that has just started may hear of the earlier versions last.
 	return !c.known || software == "" || isOld || slices.Contains(c.allowed, software)
 }
 
-func (c *Choice) allowsTarget(endpoint mesh.EndpointID, first bool) bool {
+func (c *Choice) allowsTarget(endpoint mesh.EndpointID, attempt Attempt) bool {
 	switch c.state.Phase {
 	case Completed:
 		return true
@@ -288,7 +319,7 @@
 		if now := c.table.State(c.service); now != nil && now.Order == c.state.Order && now.Phase == RolledBack {
 			return false
 		}
-		return c.exposed && (first || c.state.Share >= 1) && (len(c.state.Trial) == 0 || slices.Contains(c.state.Trial, endpoint))
+		return c.exposed && (attempt == First || c.state.Share >= 1) && (len(c.state.Trial) == 0 || slices.Contains(c.state.Trial, endpoint))
 	}
 	return false
 }
