--- a/hostnode/quotas_test.go
+++ b/hostnode/quotas_test.go
@@ -112,7 +112,7 @@
 
 // Guards against settings that enforce half a bound.
 func TestQuotaSettings(t *testing.T) {
-	settings := fmt.Sprintf(settingsText, "h", "s", "10.0.0.1:1", "10.0.0.1:2", "10.0.0.1:3", "10.0.0.1:4", "10.0.0.1:5", "10.0.0.1:6", "10.0.0.1:7")
+	settings := fmt.Sprintf(settingsText, "h", float64(defaultLinkMbps), "s", "10.0.0.1:1", "10.0.0.1:2", "10.0.0.1:3", "10.0.0.1:4", "10.0.0.1:5", "10.0.0.1:6", "10.0.0.1:7")
 	Convey("without a bound quotas are not enforced", t, func() {
 		s, err := ParseSettings([]byte(settings))
 		So(err, ShouldBeNil)
