slotqueue: calls that wait for their bodies do not count against the rate of their workspace

Cause: the expected delay of a call was at least the time since the last start of its workspace for each of its calls ahead, also while these waited for their bodies and slots were free. The test fails without the change. Change: only calls that can start count for the rate of a workspace. Measured: go test and go test -race of slotqueue pass.

--- a/slotqueue/fairness.go
+++ b/slotqueue/fairness.go
@@ -47,9 +47,11 @@
 	// nextStart is the virtual time at which its next call starts, in mean service times.
 	nextStart        float64
 	running, waiting int
-	usedAt           boottime.Time
-	// startIntervals are the times between starts while calls wait, of which the current
-	// one began at waitsSince.
+	// ready is the number of waiting calls that are not being prepared.
+	ready  int
+	usedAt boottime.Time
+	// startIntervals are the times between starts while ready calls wait, of which the
+	// current one began at waitsSince.
 	startIntervals movingAverage
 	waitsSince     boottime.Time
 	served         servedCount
@@ -149,20 +151,28 @@
 // virtualStart returns the virtual time at which the next call of the share starts.
 func (s *share) virtualStart() float64 { return max(s.nextStart, s.rank.virtualTime) }
 
-// wait records that a call of the share begins to wait. AheadOfOwn is the number of calls
-// of the share that start before it.
-func (s *share) wait(aheadOfOwn int, now boottime.Time) {
-	if s.waiting == 0 {
+// waitForSlot records that a call of the share which is ready begins to wait for a slot.
+// AheadOfOwn is the number of ready calls of the share that start before it.
+func (s *share) waitForSlot(aheadOfOwn int, now boottime.Time) {
+	if s.ready == 0 {
 		s.startIntervals = movingAverage{}
 	}
 	if aheadOfOwn == 0 {
 		s.waitsSince = now
 	}
-	s.waiting++
+	s.ready++
 }
 
-// delay estimates the time until a call with the given number of calls of its share ahead
-// of it starts, by the rate at which the share gets slots. Calls of others that arrive
+// leaveQueue records that a call of the share does not wait any more.
+func (t *Ticket) leaveQueue() {
+	t.share.waiting--
+	if !t.preparing {
+		t.share.ready--
+	}
+}
+
+// delay estimates the time until a call with the given number of ready calls of its share
+// ahead of it starts, by the rate at which the share gets slots. Calls of others that arrive
 // later also go before it.
 func (s *share) delay(aheadOfOwn int, now boottime.Time) time.Duration {
 	if aheadOfOwn == 0 {
@@ -259,9 +269,10 @@
 }
 
 // countAhead returns the number of waiting calls that are expected to start before a call
-// that arrives, how many of these are of its own share, and the number of late ones.
+// that arrives, how many of these are of its own share and ready, and the number of late
+// ones.
 func (q *Queue) countAhead(t *Ticket, now boottime.Time) (ahead, ofOwn, late int) {
-	before, sameRank := 0, 0
+	before, sameRank, own := 0, 0, 0
 	for _, other := range q.waiting {
 		other.share.matching = 0
 	}
@@ -276,14 +287,17 @@
 		case same && other.share != t.share:
 			other.share.matching++
 		case q.goesBefore(other, t, now):
-			if same {
-				ofOwn++
-			} else {
+			if !same {
 				before++
+				continue
+			}
+			own++
+			if !other.preparing {
+				ofOwn++
 			}
 		}
 	}
-	start := t.share.virtualStart() + float64(ofOwn)*q.cost(t.call.Class, now)
+	start := t.share.virtualStart() + float64(own)*q.cost(t.call.Class, now)
 	for _, other := range q.waiting {
 		if n := other.share.matching; n > 0 {
 			other.share.matching = 0
@@ -291,7 +305,7 @@
 			sameRank += min(n, int(max(0, start-other.share.virtualStart()+1)))
 		}
 	}
-	sameRank += ofOwn
+	sameRank += own
 	ahead = before + sameRank
 	if t.call.Workspace != "" && !t.call.Class.Nested && !isLate {
 		ahead = min(ahead, q.reservedAhead(t, sameRank, now))
--- a/slotqueue/fairness_test.go
+++ b/slotqueue/fairness_test.go
@@ -238,6 +238,16 @@
 		// About eight calls wait for 100 ms each; the users' clients wait for a third.
 		So(rejection.RetryAfter, ShouldBeBetween, 700*ms, time.Second)
 	})
+	Convey("calls whose bodies are late do not keep others of their workspace from free slots", t, func() {
+		q, _ := fullQueue(18, 100*ms, 0)
+		q.SetSlots(36, 0)
+		for i := range 12 {
+			now := time.Duration(i) * 50 * ms
+			c := slotqueue.Call{Class: class(0, false), Workspace: "a", TargetBy: now + 800*ms, DeadlineBy: now + 3*time.Second, Preparing: true, ReadyBy: now}
+			_, rejection := q.Offer(c, now)
+			So(rejection, ShouldBeNil)
+		}
+	})
 	Convey("calls that others have overtaken are rejected when they miss their target", t, func() {
 		q, held := fullQueue(2, 100*ms, 0)
 		var overtaken []*slotqueue.Ticket
--- a/slotqueue/slotqueue.go
+++ b/slotqueue/slotqueue.go
@@ -202,15 +202,18 @@
 		return nil, rejection
 	}
 	t.waiting = true
-	t.share.wait(aheadOfOwn, now)
+	t.share.waiting++
+	if !t.preparing {
+		t.share.waitForSlot(aheadOfOwn, now)
+	}
 	q.waiting = append(q.waiting, t)
 	q.dispatch(now)
 	return t, nil
 }
 
 // checkDelay rejects a call whose expected queueing delay is too long for its
-// deadline or its latency target. It returns the number of calls of its share that start
-// before it.
+// deadline or its latency target. It returns the number of ready calls of its share
+// that start before it.
 func (q *Queue) checkDelay(t *Ticket, serviceTime time.Duration, now boottime.Time) (aheadOfOwn int, rejection *Rejection) {
 	ahead, aheadOfOwn, late := q.countAhead(t, now)
 	delay := q.queueingDelay(ahead, now)
@@ -344,6 +347,9 @@
 func (q *Queue) MarkPrepared(t *Ticket, now boottime.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if t.waiting && t.preparing {
+		t.share.waitForSlot(t.share.ready, now)
+	}
 	t.preparing = false
 	q.dispatch(now)
 }
@@ -370,7 +376,7 @@
 }
 
 func (q *Queue) removeWaiting(i int) {
-	q.waiting[i].share.waiting--
+	q.waiting[i].leaveQueue()
 	last := len(q.waiting) - 1
 	q.waiting[i] = q.waiting[last]
 	q.waiting[last] = nil
@@ -440,7 +446,7 @@
 	defer q.mu.Unlock()
 	q.closeReason = reason
 	for _, t := range q.waiting {
-		t.share.waiting--
+		t.leaveQueue()
 		q.reject(t, reason)
 	}
 	q.waiting = nil
