hostlink: tests at 0.86 of the bandwidth

The figures that these tests derive from the usable part of a link change with it, by the same factor; widths of ranges and what they check do not.

--- a/hostlink/decisions_test.go
+++ b/hostlink/decisions_test.go
@@ -167,7 +167,7 @@
 func TestTheRateIsMeasured(t *testing.T) {
 	Convey("slow credits lower the rate to what is carried, and quick ones raise it again", t, func() {
 		r := newRateEstimate(8)
-		So(r.long(), ShouldEqual, 940_000)
+		So(r.long(), ShouldEqual, 860_000)
 		now := boottime.Time(0)
 		run := func(credits int, delay, last time.Duration) {
 			for range 12 {
@@ -202,6 +202,6 @@
 		for now := boottime.Time(0); now < boottime.Time(5*time.Second); now += boottime.Time(10 * time.Millisecond) {
 			r.observeShort(4000, now)
 		}
-		So(r.long(), ShouldBeBetween, 520_000, 560_000)
+		So(r.long(), ShouldBeBetween, 440_000, 480_000)
 	})
 }
--- a/hostlink/link_test.go
+++ b/hostlink/link_test.go
@@ -28,14 +28,14 @@
 		l.SetEnabled(true)
 		need := Need{Rank: 1, TargetBy: clock() + time.Second, DeadlineBy: clock() + time.Second}
 		full := l.NewTransfer(need)
-		_, fits := full.Reserve(900_000, 0)
+		_, fits := full.Reserve(800_000, 0)
 		So(fits, ShouldBeTrue)
-		_, fits = l.NewTransfer(need).Reserve(900_000, 0)
+		_, fits = l.NewTransfer(need).Reserve(800_000, 0)
 		So(fits, ShouldBeFalse)
 		So(l.Stats().Refused, ShouldEqual, 1)
 		fitsAgain := func() {
 			next := Need{Rank: 1, TargetBy: clock() + time.Second, DeadlineBy: clock() + time.Second}
-			_, fits := l.NewTransfer(next).Reserve(900_000, 0)
+			_, fits := l.NewTransfer(next).Reserve(800_000, 0)
 			So(fits, ShouldBeTrue)
 		}
 		Convey("its attempt fails, or its caller's host vanishes", func() {
@@ -47,8 +47,8 @@
 			fitsAgain()
 		})
 		Convey("it leaves", func() {
-			full.Begin(900_000)
-			for range 900_000 / ChunkBytes {
+			full.Begin(800_000)
+			for range 800_000 / ChunkBytes {
 				So(full.Wait(nil, ChunkBytes), ShouldBeTrue)
 			}
 			fitsAgain()
--- a/peers/hostlink_test.go
+++ b/peers/hostlink_test.go
@@ -132,7 +132,7 @@
 		a.AddRecords(b.record)
 		a.waitForPeers(1)
 		p := a.ByService("s")[0]
-		const idle = 106 * time.Millisecond // 100 kB at 0.94 MB/s.
+		const idle = 116 * time.Millisecond // 100 kB at 0.86 MB/s.
 		So(p.LinkDelay(0), ShouldEqual, 0)
 		So(p.LinkDelay(100_000).Truncate(time.Millisecond), ShouldEqual, idle)
 		t := b.link.NewTransfer(hostlink.Need{TargetBy: now() + time.Minute, DeadlineBy: now() + time.Minute})
@@ -140,7 +140,7 @@
 		So(fits, ShouldBeTrue)
 		waitFor(func() bool { return p.LinkDelay(100_000) > time.Second })
 		t.Close()
-		waitFor(func() bool { return p.LinkDelay(100_000).Round(10*time.Millisecond) == 110*time.Millisecond })
+		waitFor(func() bool { return p.LinkDelay(100_000).Round(10*time.Millisecond) == 120*time.Millisecond })
 		Convey("and calls count until the next report", func() {
 			b.pauseReports()
 			c := newCall(nil)
