Finish long responses that have been begun; leave room to the target

Change: the order is by latency target whether it has passed or not. Responses that are begun for the room that is left over are ordered by their deadline. A response must be expected to leave in 0.85 of the time to its target, since lengths vary; one that alone takes longer, in half of what it leaves.

--- a/hostlink/order.go
+++ b/hostlink/order.go
@@ -16,23 +16,20 @@
 	Nested bool
 	// Rank is the rank of the call; 0 is the most urgent.
 	Rank uint8
-	// TargetBy is when the latency target ends, DeadlineBy when the caller stops waiting.
+	// TargetBy is when the latency target ends, DeadlineBy when the caller stops waiting. The
+	// TargetBy of a response that gets the room that is left over is its DeadlineBy.
 	TargetBy, DeadlineBy boottime.Time
 }
 
-// before reports whether a leaves before b: responses to nested calls first, then those
-// within their latency target, then by rank, then by latency target.
-func (a Need) before(b Need, now boottime.Time) bool {
+// before reports whether a leaves before b: responses to nested calls first, then by rank,
+// then by latency target. One that has missed its target is not put behind the others: it
+// has been begun, and the bytes that have left would be lost.
+func (a Need) before(b Need) bool {
 	if a.Nested != b.Nested {
 		return a.Nested
 	}
-	if lateA, lateB := a.isLate(now), b.isLate(now); lateA != lateB {
-		return lateB
-	}
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
 	return a.TargetBy < b.TargetBy
 }
-
-func (a Need) isLate(now boottime.Time) bool { return a.TargetBy <= now }
--- a/hostlink/pacer.go
+++ b/hostlink/pacer.go
@@ -52,10 +52,10 @@
 	}
 	first, last := 0, 0
 	for i, c := range p.waiting {
-		if c.need.before(p.waiting[first].need, now) {
+		if c.need.before(p.waiting[first].need) {
 			first = i
 		}
-		if p.waiting[last].need.before(c.need, now) {
+		if p.waiting[last].need.before(c.need) {
 			last = i
 		}
 	}
--- a/hostlink/promises.go
+++ b/hostlink/promises.go
@@ -11,6 +11,10 @@
 	// deliveryMargin is the time that a response takes from this host's link to its
 	// caller: a few times the usual round trip, and maxAhead.
 	deliveryMargin = 30 * time.Millisecond
+	// maxTargetFraction is the part of the time to the latency target in which a response
+	// must be expected to leave, unless it is very long. The lengths of responses vary by
+	// half around their mean.
+	maxTargetFraction = 0.85
 	// maxLateFraction bounds how long a response that misses its latency target may take
 	// to leave, as a fraction of the time to its deadline. Such responses leave after the
 	// others, which may become more meanwhile.
@@ -49,7 +53,7 @@
 func (p promises) finish(x *promise, rate float64, now boottime.Time) boottime.Time {
 	ahead := make(promises, 0, len(p)+1)
 	for _, other := range p {
-		if other != x && other.bytes > 0 && !x.need.before(other.need, now) {
+		if other != x && other.bytes > 0 && !x.need.before(other.need) {
 			ahead = append(ahead, other)
 		}
 	}
@@ -79,26 +83,29 @@
 	return now + transferTime(bytes, rate)
 }
 
-// admit decides whether a response that is expected at x.readyAt is begun. If not, it
+// admit decides whether a response that is expected at x.readyAt is begun, and sets its place
+// in the order. If not, it
 // returns after which time the link is expected to have room, within what clients honour.
 // Its load: long responses worth more than the link carries.
 func (p promises) admit(x *promise, rate float64, now boottime.Time, random func() float64) (time.Duration, bool) {
-	limit := x.need.TargetBy
+	target := x.need.TargetBy
 	if x.need.Nested {
 		// Without the response the call that waits for it fails.
-		limit = x.need.DeadlineBy
+		target = x.need.DeadlineBy
 	}
-	if p.finish(x, rate, now)+deliveryMargin <= limit {
+	alone := max(now, x.readyAt) + transferTime(x.bytes, rate) + deliveryMargin
+	limit := max(now+time.Duration(maxTargetFraction*float64(target-now)), (alone+target)/2)
+	if alone <= target && p.finish(x, rate, now)+deliveryMargin <= limit {
 		return 0, true
 	}
 	remaining := x.need.DeadlineBy - now
-	alone := max(now, x.readyAt) + transferTime(x.bytes, rate) + deliveryMargin
-	if alone > limit {
+	if alone > target {
 		// The call misses its target anyhow and gets the room that is left over. One that
 		// misses it only for the responses before it would make the next ones late, too.
 		late := *x
-		late.need.TargetBy = now
+		late.need.TargetBy = late.need.DeadlineBy
 		if left := p.finish(&late, rate, now) + deliveryMargin; float64(left-now) <= maxLateFraction*float64(remaining) {
+			x.need = late.need
 			return 0, true
 		}
 	}
--- a/hostnode/link_test.go
+++ b/hostnode/link_test.go
@@ -35,9 +35,11 @@
 			a.announce("one", "ready")
 			b.announce("two", "ready")
 			waitFor(func() bool { return a.node.ready() && len(a.node.directory.ByService("two")) == 1 })
+			waitFor(func() bool { return a.node.hostLink.Enabled() && b.node.hostLink.Enabled() })
 			var executed atomic.Int64
 			b.setResponse(func(w http.ResponseWriter, r *http.Request) {
 				executed.Add(1)
+				time.Sleep(50 * time.Millisecond) // All calls are decided before a response arrives.
 				writeLongBody(w, r)
 			})
 			status, _ := a.get("first", "/two/x") // Shows how long the responses are.
--- a/peers/hostlink_test.go
+++ b/peers/hostlink_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -143,6 +144,7 @@
 		waitFor(func() bool { return p.LinkDelay(100_000).Round(10*time.Millisecond) == 110*time.Millisecond })
 		Convey("and calls count until the next report", func() {
 			b.pauseReports()
+			synctest.Wait() // A report that is being sent arrives.
 			c := newCall(nil)
 			c.ResponseBytes = 100_000
 			So(p.Run(context.Background(), c).Outcome, ShouldEqual, call.Answered)
