hostlink: the floor is for ranks, not for responses of one rank

Cause: a tenth of the bytes went to the response with the latest target also where only targets order those that wait, so that all took longer and none needed it: the earliest target comes first in the end. Change: the least urgent chunk gets its share only behind a more urgent rank or nested calls.

--- a/hostlink/order.go
+++ b/hostlink/order.go
@@ -21,6 +21,9 @@
 	TargetBy, DeadlineBy boottime.Time
 }
 
+// hasRankOf reports whether only the latency targets order a and b.
+func (a Need) hasRankOf(b Need) bool { return a.Nested == b.Nested && a.Rank == b.Rank }
+
 // before reports whether a leaves before b: responses to nested calls first, then by rank,
 // then by latency target. One that has missed its target is not put behind the others: it
 // has been begun, and the bytes that have left would be lost.
--- a/hostlink/pacer.go
+++ b/hostlink/pacer.go
@@ -13,7 +13,8 @@
 	// use a part of a core is paused.
 	maxAhead = 20 * time.Millisecond
 	// floorShare is the share of the bytes of chunks that the least urgent one gets while
-	// others are ahead of it.
+	// others of a more urgent rank, or for nested calls, are ahead of it. The order within a
+	// rank lets none wait for ever.
 	floorShare = 0.1
 )
 
@@ -60,7 +61,7 @@
 		}
 	}
 	chosen := first
-	if first != last {
+	if !p.waiting[first].need.hasRankOf(p.waiting[last].need) {
 		p.floorBytes += floorShare * float64(p.waiting[first].bytes)
 		if bytes := float64(p.waiting[last].bytes); p.floorBytes >= bytes {
 			p.floorBytes -= bytes
