--- a/hostnode/rollout.go
+++ b/hostnode/rollout.go
@@ -482,9 +482,6 @@
 
 func (k *rolloutKeeper) input(s *rollout.State, endpoints []*peers.EndpointStatus, reachable []mesh.HostID, now boottime.Time) rollout.Input {
 	in := rollout.Input{Now: now, Bounds: k.bounds, Applied: true, StoreAnswers: k.hasRead(now)}
-	if !s.IsFinal() {
-		in.Verdict = k.evidenceOn(s).Judge(now)
-	}
 	for _, e := range endpoints {
 		if e.Service != s.Service {
 			continue
@@ -499,6 +496,9 @@
 			in.OldVersions = append(in.OldVersions, e.Software)
 		}
 	}
+	if !s.IsFinal() {
+		in.Verdict = k.evidenceOn(s).Judge(now, len(in.Targets))
+	}
 	for _, host := range reachable {
 		in.Applied = in.Applied && slices.ContainsFunc(k.applied[host], func(a rollout.Applied) bool {
 			return a.Service == s.Service && a.Order == s.Order && a.Phase == s.Phase && a.Step == s.Step
--- a/hostnode/rollout_test.go
+++ b/hostnode/rollout_test.go
@@ -17,6 +17,7 @@
 
 	"geraniumnotch.example/geraniumnotch/platform"
 	"geraniumnotch.example/geraniumnotch/platform/standin"
+	"geraniumnotch.example/geraniumnotch/rollout"
 )
 
 // rolloutFixture has three hosts with endpoints of version v1 and three of v2, all of one
@@ -210,3 +211,47 @@
 		}
 	})
 }
+
+// Guards against two hosts that decide differently at the same time, and against a decision
+// whose write had no answer.
+func TestStoreAcceptsOneDecision(t *testing.T) {
+	inBubble(t, "two hosts write a final status", func(t *testing.T) {
+		for _, fault := range []standin.Fault{standin.NoFault, standin.ResponseLost, standin.ExecutedLate} {
+			f := newRolloutFixture(t)
+			f.store.Write(platform.RolloutOrderKey("one"), standin.RolloutOrder("one", "v2", 60))
+			f.addNext()
+			f.send(4 * time.Second)
+			So(f.status(), ShouldEqual, "running v2")
+			decided := map[rollout.Phase]*rolloutKeeper{rollout.Completed: f.old[0].node.rollouts, rollout.RolledBack: f.old[1].node.rollouts}
+			revision := f.store.Revision(platform.RolloutStatusKey("one"))
+			var faults atomic.Int64
+			f.store.SetFault(func(path string) standin.Fault {
+				if path == standin.PathTransaction && faults.Add(1) == 1 {
+					return fault
+				}
+				return standin.NoFault
+			})
+			for phase, k := range decided {
+				s := *k.table.State("one")
+				k.mu.Lock()
+				k.statuses["one"] = platform.Revision{Epoch: s.Order.Epoch, Number: revision}
+				if phase == rollout.RolledBack {
+					k.merge(rollout.Withdraw(s, k.clock()), "test")
+				}
+				k.write(t.Context(), s, phase)
+				k.mu.Unlock()
+			}
+			time.Sleep(2 * time.Second)
+			f.store.ExecuteLate()
+			time.Sleep(2 * time.Second)
+			final := map[string]rollout.Phase{"completed v2": rollout.Completed, "rolled_back v2": rollout.RolledBack}[f.status()]
+			So(final, ShouldNotEqual, 0)
+			for _, h := range f.hosts {
+				s := h.node.rollouts.table.State("one")
+				So(s.Phase, ShouldEqual, final)
+				So(s.Stored, ShouldBeTrue)
+			}
+			f.close()
+		}
+	})
+}
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -13,8 +13,9 @@
 
 // Fractions of the duration of an order.
 const (
-	// concentrateUntil is the part in which few endpoints of the version get all calls that
-	// may go to it: a version that fails under load shows it there. Then all of them get some.
+	// concentrateUntil is the part in which the fewest endpoints of the version get all calls
+	// that may go to it: a version that fails under load shows it there. Then all of them get
+	// some.
 	concentrateUntil = 0.4
 	// verifyUntil is when the calls move to a version that has shown no fault. The rest is
 	// for the move and for a store that does not answer for some seconds.
@@ -38,7 +39,10 @@
 	enoughAnswers = 60
 	// shiftInterval is the least time between two steps of the move. The endpoints report
 	// their answers meanwhile.
-	shiftInterval = 600 * time.Millisecond
+	shiftInterval = 700 * time.Millisecond
+	// rotateInterval is the least time between two choices of trial endpoints: the second
+	// ones show within it whether a fault is that of the version.
+	rotateInterval = time.Second
 	// maxDrainWait bounds how long calls in flight at the earlier versions are awaited
 	// before these are ended.
 	maxDrainWait = 1500 * time.Millisecond
@@ -142,14 +146,18 @@
 	progress := s.progress(in.Now)
 	doubtful := in.Verdict.Suspect || in.Verdict.Answers.Total < enoughAnswers
 	if in.StoreAnswers && (progress >= verifySuspectUntil || progress >= verifyUntil && !doubtful) {
-		return s.step(in.Now, Shifting, shiftShares[0], nil)
+		return s.shiftTo(shiftShares[0], in)
 	}
 	share := in.Bounds.Share * shareMargin
 	trial := s.Trial
-	if progress >= concentrateUntil {
+	switch count := trialSize(share, in); {
+	case progress >= concentrateUntil:
 		trial = nil
-	} else if count := trialSize(share, in); !allKnown(trial, in.Targets) || len(trial) < count {
-		trial = chooseTrial(in.Targets, count)
+	case !allKnown(trial, in.Targets) || len(trial) < count:
+		trial = chooseTrial(in.Targets, count, 0)
+	case in.Verdict.Suspect && in.Now-s.SteppedAt >= rotateInterval:
+		// Others show whether the version or its endpoints are at fault.
+		trial = chooseTrial(in.Targets, len(trial), int(s.Step)*len(trial))
 	}
 	if share != s.Share || !slices.Equal(trial, s.Trial) {
 		return s.step(in.Now, Verifying, share, trial)
@@ -157,16 +165,15 @@
 	return s
 }
 
-// trialSize returns the number of endpoints that a share of the calls keeps busy. It is
-// enough to tell a fault of one of them from one of the version.
+// trialSize returns the number of endpoints that a share of the calls keeps busy.
 func trialSize(share float64, in Input) int {
 	slots := 0
 	for _, t := range in.Targets {
 		slots += t.Slots
 	}
 	perEndpoint := max(1, trialOccupancy*float64(slots)/float64(len(in.Targets)))
-	busy := int(math.Ceil(share * float64(in.Running) / perEndpoint))
-	return min(len(in.Targets), max(minOthers, busy))
+	busy := int(math.Floor(share * float64(in.Running) / perEndpoint))
+	return min(len(in.Targets), max(1, busy))
 }
 
 func allKnown(trial []mesh.EndpointID, targets []TargetEndpoint) bool {
@@ -178,8 +185,9 @@
 	return len(trial) > 0
 }
 
-// chooseTrial chooses endpoints by a hash, so that any host chooses the same.
-func chooseTrial(targets []TargetEndpoint, count int) []mesh.EndpointID {
+// chooseTrial chooses endpoints in the order of a hash, so that any host chooses the same,
+// beginning after some of them.
+func chooseTrial(targets []TargetEndpoint, count, after int) []mesh.EndpointID {
 	hash := func(id mesh.EndpointID) uint64 {
 		h := fnv.New64a()
 		_, _ = h.Write([]byte(id)) // It returns no error.
@@ -192,9 +200,21 @@
 	slices.SortFunc(ids, func(a, b mesh.EndpointID) int {
 		return cmp.Or(cmp.Compare(hash(a), hash(b)), cmp.Compare(a, b))
 	})
+	after %= len(ids)
+	ids = slices.Concat(ids[after:], ids[:after])
 	return ids[:min(count, len(ids))]
 }
 
+// shiftTo moves a share of the calls to the same share of the endpoints, which get as many
+// calls as they will have to take in the end.
+func (s State) shiftTo(share float64, in Input) State {
+	var trial []mesh.EndpointID
+	if share < 1 {
+		trial = chooseTrial(in.Targets, int(math.Ceil(share*float64(len(in.Targets)))), 0)
+	}
+	return s.step(in.Now, Shifting, share, trial)
+}
+
 func (s State) shift(in Input) (State, bool) {
 	since := in.Now - s.SteppedAt
 	if len(in.Targets) == 0 {
@@ -210,7 +230,7 @@
 	}
 	if s.Share < 1 {
 		i := slices.IndexFunc(shiftShares, func(share float64) bool { return share > s.Share })
-		return s.step(in.Now, Shifting, shiftShares[i], nil), false
+		return s.shiftTo(shiftShares[i], in), false
 	}
 	drained := in.OldRunning == 0 || since >= maxDrainWait
 	return s, in.StoreAnswers && (drained || late)
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -30,15 +30,11 @@
 	// comparisons in a roll-out, four occur by chance in one of a hundred roll-outs.
 	badDeviations     = 4
 	suspectDeviations = 2.5
-	// minEndpointAnswers is the number of answers from which an endpoint of the version can
-	// be compared with the others of it, and minOthers the number of such endpoints from
-	// which a fault of a single one is told from one of the version.
-	minEndpointAnswers = 6
-	minOthers          = 3
 	// priorAnswers and priorBad are added to the answers of the earlier versions, so that a
-	// few of them are no proof of perfect health.
-	priorAnswers = 10
-	priorBad     = 0.3
+	// few of them are no proof of perfect health, and a version that fails is withdrawn
+	// without any.
+	priorAnswers = 30
+	priorBad     = 1
 	// recentWindow is the span of the answers that show a fault that began late.
 	recentWindow = 3 * time.Second
 	// maxClasses bounds the classes that a report may hold: kinds, ranks and nesting.
@@ -234,9 +230,9 @@
 	return recent
 }
 
-// Judge compares the answers of the target version with those of the earlier ones: over
-// the roll-out and recently, for all calls and for each class.
-func (e *Evidence) Judge(now boottime.Time) Verdict {
+// Judge compares the answers of the target version, which has a number of endpoints, with
+// those of the earlier ones: over the roll-out and recently, for all calls and for each class.
+func (e *Evidence) Judge(now boottime.Time, targets int) Verdict {
 	var v Verdict
 	for _, scope := range []func(*endpointEvidence) classCounts{
 		(*endpointEvidence).latest,
@@ -260,8 +256,8 @@
 		}
 		groups[slotqueue.Class{}] = all // No call has this class.
 		for _, g := range groups {
-			v.Bad = v.Bad || g.isWorse(badDeviations)
-			v.Suspect = v.Suspect || g.isWorse(suspectDeviations)
+			v.Bad = v.Bad || g.isWorse(badDeviations, targets > 1)
+			v.Suspect = v.Suspect || g.sum().exceed(g.others, suspectDeviations)
 		}
 	}
 	return v
@@ -291,23 +287,19 @@
 }
 
 // isWorse reports whether the target version has more bad answers than the others, by the
-// given number of standard deviations. When several endpoints of it can be compared, the
-// worst one does not count: its machine may be at fault.
-func (c *comparison) isWorse(deviations float64) bool {
-	sum, worst, comparable := c.sum(), Answers{}, 0
+// given number of standard deviations. If it has several endpoints, the one with the most bad
+// answers does not count: its machine may be at fault.
+func (c *comparison) isWorse(deviations float64, several bool) bool {
+	sum, worst := c.sum(), Answers{}
 	for _, a := range c.target {
-		if a.Total < minEndpointAnswers {
-			continue
-		}
-		comparable++
-		if worst.Total == 0 || a.Bad*worst.Total > worst.Bad*a.Total {
+		if a.Bad > worst.Bad {
 			worst = a
 		}
 	}
-	if !sum.exceed(c.others, deviations) {
-		return false
+	if several {
+		sum = sum.minus(worst)
 	}
-	return comparable < minOthers || sum.minus(worst).exceed(c.others, deviations)
+	return sum.exceed(c.others, deviations)
 }
 
 // exceed reports whether the share of bad answers is higher than the usual one.
