Roll-outs: compare only what happens at the same time while calls move

Change: while calls move, only the answers of the last 3 s count, and a tenth of the calls stays at the earlier versions for 1.4 s. After that only a version with 0.4 more bad answers is withdrawn. Verifying ends at 0.5 of the time in place of 0.55, for the longer move. Measured: go test of hostnode, rollout, platform, ingress, peers, localendpoint and slotqueue passes.

--- a/hostnode/rollout.go
+++ b/hostnode/rollout.go
@@ -466,6 +466,9 @@
 	}
 	next, complete := rollout.Advance(s, in)
 	changed := k.merge(next, "decision")
+	if next.IsFinal() {
+		delete(k.evidence, s.Service)
+	}
 	if changed && next.Phase == rollout.RolledBack {
 		eventRolloutVerdict.Log(k.logger, "service", s.Service, "target", s.Target, "answers", in.Verdict.Answers.Total, "bad", in.Verdict.Answers.Bad)
 	}
@@ -497,7 +500,7 @@
 		}
 	}
 	if !s.IsFinal() {
-		in.Verdict = k.evidenceOn(s).Judge(now, len(in.Targets))
+		in.Verdict = k.evidenceOn(s).Judge(now, len(in.Targets), s.Phase == rollout.Shifting)
 	}
 	for _, host := range reachable {
 		in.Applied = in.Applied && slices.ContainsFunc(k.applied[host], func(a rollout.Applied) bool {
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -19,9 +19,9 @@
 	concentrateUntil = 0.4
 	// verifyUntil is when the calls move to a version that has shown no fault. The rest is
 	// for the move and for a store that does not answer for some seconds.
-	verifyUntil = 0.55
+	verifyUntil = 0.5
 	// verifySuspectUntil is the same for a version with too few answers, or that may be worse.
-	verifySuspectUntil = 0.65
+	verifySuspectUntil = 0.6
 	// completeUntil is when the status is written even if hosts have not confirmed that
 	// they follow.
 	completeUntil = 0.9
@@ -48,8 +48,15 @@
 	maxDrainWait = 1500 * time.Millisecond
 )
 
-// shiftShares are the shares of the steps in which the calls move.
-var shiftShares = []float64{0.25, 0.5, 1}
+// shiftShares are the shares of the steps in which the calls move. At controlShare the calls
+// of the earlier versions still show which faults all versions have.
+var shiftShares = []float64{0.25, 0.5, controlShare, 1}
+
+const (
+	controlShare = 0.9
+	// controlInterval is the time at that share: the answers of 0.7 s are reported within it.
+	controlInterval = 1400 * time.Millisecond
+)
 
 // Bounds are the operator's bounds for roll-outs.
 type Bounds struct {
@@ -89,7 +96,8 @@
 	if s.IsFinal() {
 		return s, false
 	}
-	if in.Verdict.Bad {
+	// Without calls at the earlier versions nothing shows which faults all versions have.
+	if in.Verdict.Severe || in.Verdict.Bad && s.Share < 1 {
 		return Withdraw(s, in.Now), false
 	}
 	if s.Phase == Verifying {
@@ -225,7 +233,11 @@
 		return s, false
 	}
 	late := s.progress(in.Now) >= completeUntil
-	if !late && (since < shiftInterval || !in.Applied) {
+	interval := shiftInterval
+	if s.Share == controlShare {
+		interval = controlInterval
+	}
+	if !late && (since < interval || !in.Applied) {
 		return s, false
 	}
 	if s.Share < 1 {
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	// minExcess is the difference of the shares of bad answers from which callers are worse
 	// off; endpoints of differing speed differ by less.
 	minExcess = 0.1
+	// severeExcess is the difference from which a version is withdrawn even if the others
+	// have had no calls at the same time.
+	severeExcess = 0.4
 	// badDeviations and suspectDeviations are the differences in standard deviations from
 	// which a version is bad and from which it needs more evidence. With some hundred
 	// comparisons in a roll-out, four occur by chance in one of a hundred roll-outs.
@@ -152,6 +156,8 @@
 type Verdict struct {
 	// Bad is set when its answers are worse, Suspect when they may be.
 	Bad, Suspect bool
+	// Severe is set when almost half of its answers more are bad.
+	Severe bool
 	// Answers are all answers of the version.
 	Answers Answers
 }
@@ -231,13 +237,16 @@
 }
 
 // Judge compares the answers of the target version, which has a number of endpoints, with
-// those of the earlier ones: over the roll-out and recently, for all calls and for each class.
-func (e *Evidence) Judge(now boottime.Time, targets int) Verdict {
+// those of the earlier ones: recently and, while their shares of the calls stay the same, over
+// the roll-out; for all calls and for each class.
+func (e *Evidence) Judge(now boottime.Time, targets int, shifting bool) Verdict {
 	var v Verdict
-	for _, scope := range []func(*endpointEvidence) classCounts{
-		(*endpointEvidence).latest,
-		func(s *endpointEvidence) classCounts { return s.recent(now) },
-	} {
+	scopes := []func(*endpointEvidence) classCounts{func(s *endpointEvidence) classCounts { return s.recent(now) }}
+	if !shifting {
+		// The first one counts as the answers of the version.
+		scopes = slices.Insert(scopes, 0, (*endpointEvidence).latest)
+	}
+	for _, scope := range scopes {
 		groups := map[slotqueue.Class]*comparison{}
 		all := &comparison{}
 		for _, endpoint := range e.endpoints {
@@ -256,8 +265,9 @@
 		}
 		groups[slotqueue.Class{}] = all // No call has this class.
 		for _, g := range groups {
-			v.Bad = v.Bad || g.isWorse(badDeviations, targets > 1)
-			v.Suspect = v.Suspect || g.sum().exceed(g.others, suspectDeviations)
+			v.Bad = v.Bad || g.isWorse(minExcess, targets > 1)
+			v.Severe = v.Severe || g.isWorse(severeExcess, targets > 1)
+			v.Suspect = v.Suspect || g.sum().exceed(g.others, minExcess, suspectDeviations)
 		}
 	}
 	return v
@@ -286,10 +296,10 @@
 	return sum
 }
 
-// isWorse reports whether the target version has more bad answers than the others, by the
-// given number of standard deviations. If it has several endpoints, the one with the most bad
+// isWorse reports whether the target version has more bad answers than the others, by a share
+// and beyond chance. If it has several endpoints, the one with the most bad
 // answers does not count: its machine may be at fault.
-func (c *comparison) isWorse(deviations float64, several bool) bool {
+func (c *comparison) isWorse(by float64, several bool) bool {
 	sum, worst := c.sum(), Answers{}
 	for _, a := range c.target {
 		if a.Bad > worst.Bad {
@@ -299,11 +309,12 @@
 	if several {
 		sum = sum.minus(worst)
 	}
-	return sum.exceed(c.others, deviations)
+	return sum.exceed(c.others, by, badDeviations)
 }
 
-// exceed reports whether the share of bad answers is higher than the usual one.
-func (a Answers) exceed(usual Answers, deviations float64) bool {
+// exceed reports whether the share of bad answers is higher than the usual one by a share and
+// a number of standard deviations.
+func (a Answers) exceed(usual Answers, by, deviations float64) bool {
 	if a.Bad < minBad {
 		return false
 	}
@@ -311,5 +322,5 @@
 	bad, usualBad := float64(a.Bad), float64(usual.Bad)+priorBad
 	excess := bad/n - usualBad/m
 	pooled := (bad + usualBad) / (n + m)
-	return excess >= minExcess && excess >= deviations*math.Sqrt(pooled*(1-pooled)*(1/n+1/m))
+	return excess >= by && excess >= deviations*math.Sqrt(pooled*(1-pooled)*(1/n+1/m))
 }
