--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -13,14 +13,15 @@
 
 // Fractions of the duration of an order.
 const (
-	// concentrateUntil is the part in which few endpoints of the version get all calls that
-	// may go to it: a version that fails under load shows it there. Then all of them get some.
+	// concentrateUntil is the part in which the fewest endpoints of the version get all calls
+	// that may go to it: a version that fails under load shows it there. Then all of them get
+	// some.
 	concentrateUntil = 0.4
 	// verifyUntil is when the calls move to a version that has shown no fault. The rest is
 	// for the move and for a store that does not answer for some seconds.
-	verifyUntil = 0.55
+	verifyUntil = 0.5
 	// verifySuspectUntil is the same for a version with too few answers, or that may be worse.
-	verifySuspectUntil = 0.65
+	verifySuspectUntil = 0.6
 	// completeUntil is when the status is written even if hosts have not confirmed that
 	// they follow.
 	completeUntil = 0.9
@@ -38,14 +39,24 @@
 	enoughAnswers = 60
 	// shiftInterval is the least time between two steps of the move. The endpoints report
 	// their answers meanwhile.
-	shiftInterval = 600 * time.Millisecond
+	shiftInterval = 700 * time.Millisecond
+	// rotateInterval is the least time between two choices of trial endpoints: the second
+	// ones show within it whether a fault is that of the version.
+	rotateInterval = time.Second
 	// maxDrainWait bounds how long calls in flight at the earlier versions are awaited
 	// before these are ended.
 	maxDrainWait = 1500 * time.Millisecond
 )
 
-// shiftShares are the shares of the steps in which the calls move.
-var shiftShares = []float64{0.25, 0.5, 1}
+// shiftShares are the shares of the steps in which the calls move. At controlShare the calls
+// of the earlier versions still show which faults all versions have.
+var shiftShares = []float64{0.25, 0.5, controlShare, 1}
+
+const (
+	controlShare = 0.9
+	// controlInterval is the time at that share: the answers of 0.7 s are reported within it.
+	controlInterval = 1400 * time.Millisecond
+)
 
 // Bounds are the operator's bounds for roll-outs.
 type Bounds struct {
@@ -85,7 +96,8 @@
 	if s.IsFinal() {
 		return s, false
 	}
-	if in.Verdict.Bad {
+	// Without calls at the earlier versions nothing shows which faults all versions have.
+	if in.Verdict.Severe || in.Verdict.Bad && s.Share < 1 {
 		return Withdraw(s, in.Now), false
 	}
 	if s.Phase == Verifying {
@@ -142,14 +154,18 @@
 	progress := s.progress(in.Now)
 	doubtful := in.Verdict.Suspect || in.Verdict.Answers.Total < enoughAnswers
 	if in.StoreAnswers && (progress >= verifySuspectUntil || progress >= verifyUntil && !doubtful) {
-		return s.step(in.Now, Shifting, shiftShares[0], nil)
+		return s.shiftTo(shiftShares[0], in)
 	}
 	share := in.Bounds.Share * shareMargin
 	trial := s.Trial
-	if progress >= concentrateUntil {
+	switch count := trialSize(share, in); {
+	case progress >= concentrateUntil:
 		trial = nil
-	} else if count := trialSize(share, in); !allKnown(trial, in.Targets) || len(trial) < count {
-		trial = chooseTrial(in.Targets, count)
+	case !allKnown(trial, in.Targets) || len(trial) < count:
+		trial = chooseTrial(in.Targets, count, 0)
+	case in.Verdict.Suspect && in.Now-s.SteppedAt >= rotateInterval:
+		// Others show whether the version or its endpoints are at fault.
+		trial = chooseTrial(in.Targets, len(trial), int(s.Step)*len(trial))
 	}
 	if share != s.Share || !slices.Equal(trial, s.Trial) {
 		return s.step(in.Now, Verifying, share, trial)
@@ -157,16 +173,15 @@
 	return s
 }
 
-// trialSize returns the number of endpoints that a share of the calls keeps busy. It is
-// enough to tell a fault of one of them from one of the version.
+// trialSize returns the number of endpoints that a share of the calls keeps busy.
 func trialSize(share float64, in Input) int {
 	slots := 0
 	for _, t := range in.Targets {
 		slots += t.Slots
 	}
 	perEndpoint := max(1, trialOccupancy*float64(slots)/float64(len(in.Targets)))
-	busy := int(math.Ceil(share * float64(in.Running) / perEndpoint))
-	return min(len(in.Targets), max(minOthers, busy))
+	busy := int(math.Floor(share * float64(in.Running) / perEndpoint))
+	return min(len(in.Targets), max(1, busy))
 }
 
 func allKnown(trial []mesh.EndpointID, targets []TargetEndpoint) bool {
@@ -178,8 +193,9 @@
 	return len(trial) > 0
 }
 
-// chooseTrial chooses endpoints by a hash, so that any host chooses the same.
-func chooseTrial(targets []TargetEndpoint, count int) []mesh.EndpointID {
+// chooseTrial chooses endpoints in the order of a hash, so that any host chooses the same,
+// beginning after some of them.
+func chooseTrial(targets []TargetEndpoint, count, after int) []mesh.EndpointID {
 	hash := func(id mesh.EndpointID) uint64 {
 		h := fnv.New64a()
 		_, _ = h.Write([]byte(id)) // It returns no error.
@@ -192,9 +208,21 @@
 	slices.SortFunc(ids, func(a, b mesh.EndpointID) int {
 		return cmp.Or(cmp.Compare(hash(a), hash(b)), cmp.Compare(a, b))
 	})
+	after %= len(ids)
+	ids = slices.Concat(ids[after:], ids[:after])
 	return ids[:min(count, len(ids))]
 }
 
+// shiftTo moves a share of the calls to the same share of the endpoints, which get as many
+// calls as they will have to take in the end.
+func (s State) shiftTo(share float64, in Input) State {
+	var trial []mesh.EndpointID
+	if share < 1 {
+		trial = chooseTrial(in.Targets, int(math.Ceil(share*float64(len(in.Targets)))), 0)
+	}
+	return s.step(in.Now, Shifting, share, trial)
+}
+
 func (s State) shift(in Input) (State, bool) {
 	since := in.Now - s.SteppedAt
 	if len(in.Targets) == 0 {
@@ -205,12 +233,16 @@
 		return s, false
 	}
 	late := s.progress(in.Now) >= completeUntil
-	if !late && (since < shiftInterval || !in.Applied) {
+	interval := shiftInterval
+	if s.Share == controlShare {
+		interval = controlInterval
+	}
+	if !late && (since < interval || !in.Applied) {
 		return s, false
 	}
 	if s.Share < 1 {
 		i := slices.IndexFunc(shiftShares, func(share float64) bool { return share > s.Share })
-		return s.step(in.Now, Shifting, shiftShares[i], nil), false
+		return s.shiftTo(shiftShares[i], in), false
 	}
 	drained := in.OldRunning == 0 || since >= maxDrainWait
 	return s, in.StoreAnswers && (drained || late)
