--- a/localendpoint/exchange.go
+++ b/localendpoint/exchange.go
@@ -159,6 +159,9 @@
 	b.WriteString(x.call.Host)
 	b.WriteString("\r\n")
 	for name, values := range h {
+		if name == "Content-Length" {
+			continue // Written below.
+		}
 		for _, value := range values {
 			b.WriteString(name)
 			b.WriteString(": ")
--- a/localendpoint/gate_test.go
+++ b/localendpoint/gate_test.go
@@ -123,7 +123,10 @@
 
 // newGate returns a gate in front of the stub endpoint, with two slots.
 func newGate(e *stubEndpoint) (*localendpoint.Gate, *localendpoint.Registration) {
-	address := e.listener.Addr().String()
+	return newGateAt(e.listener.Addr().String())
+}
+
+func newGateAt(address string) (*localendpoint.Gate, *localendpoint.Registration) {
 	r := localendpoint.NewRegistration(localendpoint.Identity{Service: "s", Address: address, FailureDomain: "d"}, boottime.Now, func(*localendpoint.Endpoint) {})
 	a := announcement("a", 100, 1)
 	a.Address = address
