ingress: no 413 before the limits are known

Change: it answers 503 with a retry-after, as to all calls. Measured: TestLongBodyBeforeThePlan fails before (413).

--- a/ingress/connlimit_test.go
+++ b/ingress/connlimit_test.go
@@ -100,3 +100,19 @@
 		})
 	})
 }
+
+// Guards against a long body that is refused for good, because clients do not send it again
+// after 413, by a host that does not know the limits yet.
+func TestLongBodyBeforeThePlan(t *testing.T) {
+	Convey("a server without a plan", t, func() {
+		ts := newTestServer(nil)
+		defer ts.close()
+		c, r := ts.dial()
+		defer func() { _ = c.Close() }()
+		_, err := io.WriteString(c, request("POST", "1", "/order/1", "Content-Length: 2000000\r\n"))
+		So(err, ShouldBeNil)
+		status, _, h := readResponse(r)
+		So(status, ShouldEqual, http.StatusServiceUnavailable)
+		So(h.Get("Retry-After"), ShouldNotBeEmpty)
+	})
+}
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -130,7 +130,7 @@
 		return false
 	}
 	limits := c.limits()
-	if request.ContentLength > limits.BodyBytes {
+	if c.server.config.Plan.Load() != nil && request.ContentLength > limits.BodyBytes {
 		x.closeAfter = true
 		x.writeFailure(http.StatusRequestEntityTooLarge, "body_too_long", 0)
 		return false
