quota: bound the bytes of views while the mesh changes

Cause: each change of a host's links sent its view to all others at once, and each view that arrived recomputed the parts of all quotas. Change: a host sends its view at most each 4 ms times the known hosts (0.26 s at 64, 1.2 s at 300), to all at the same time; parts are recomputed at each tick. What is counted follows what was stated, as before.

--- a/quota/state.go
+++ b/quota/state.go
@@ -32,8 +32,15 @@
 	// refundInterval is the longest time for which refunds wait for a demand that tells
 	// the owner.
 	refundInterval = 100 * time.Millisecond
-	// viewWait is the time after which a host that has sent no view is asked for it.
+	// viewWait is the time after which a host that has sent no view is asked for it. It is
+	// twice viewInterval where that is longer.
 	viewWait = 200 * time.Millisecond
+	// viewIntervalPerHost times the number of known hosts is the shortest time between two
+	// views of a host. While a mesh forms, each link changes the views of its hosts, which
+	// all others get: without a limit their bytes grow with the third power of the hosts.
+	// At 64 hosts it is a quarter of a second, an eighth of what the users allow between the
+	// start of a host and its first call; at 300 hosts views take 0.4 MB/s while links change.
+	viewIntervalPerHost = 4 * time.Millisecond
 )
 
 // State decides about the calls of workspaces at one host, and owns the quotas of some
@@ -53,8 +60,11 @@
 	lastAt boottime.Time
 	// wantedAt is when views were last asked for.
 	wantedAt boottime.Time
-	out      Output
-	Counters Counters
+	// viewsSentAt is when views were last sent, if viewsSent is set.
+	viewsSentAt boottime.Time
+	viewsSent   bool
+	out         Output
+	Counters    Counters
 }
 
 // ownedBucket is a bucket and the hosts that precede this one as its owner.
@@ -105,7 +115,7 @@
 	s.advance(now)
 	if s.hosts.set(hosts, now) {
 		s.assignOwners(now)
-		s.sendViews()
+		s.sendViews(now)
 	}
 }
 
@@ -281,13 +291,11 @@
 			v = &hostViews{}
 			s.hosts.views[from] = v
 		}
-		if v.add(d.View, now) {
-			s.updateParts(now)
-		}
+		v.add(d.View, now) // Tick updates the parts, well before the view counts elsewhere.
 	}
 	if d.WantsView {
 		s.hosts.unsent[from] = true
-		s.sendViews()
+		s.sendViews(now)
 	}
 	if len(d.Asks) == 0 {
 		return
@@ -326,8 +334,8 @@
 	for _, w := range s.order {
 		s.tickHand(w, s.hands[w], now)
 	}
-	s.sendViews()
-	if now-s.wantedAt >= viewWait {
+	s.sendViews(now)
+	if now-s.wantedAt >= max(viewWait, 2*s.viewInterval()) {
 		s.wantedAt = now
 		for _, e := range s.hosts.list {
 			if e.reached && s.hosts.views[e.id] == nil {
@@ -354,11 +362,19 @@
 	}
 }
 
-// sendViews sends the view of this host to those that lack it.
-func (s *State) sendViews() {
-	if len(s.hosts.unsent) == 0 {
+// viewInterval returns the shortest time between two views.
+func (s *State) viewInterval() time.Duration {
+	return time.Duration(len(s.hosts.known)) * viewIntervalPerHost
+}
+
+// sendViews sends the view of this host to those that lack it, once viewInterval has passed.
+// All of them get it at the same time: an owner that the view adds must not learn of it
+// before the one that it takes away.
+func (s *State) sendViews(now boottime.Time) {
+	if len(s.hosts.unsent) == 0 || s.viewsSent && now-s.viewsSentAt < s.viewInterval() {
 		return
 	}
+	s.viewsSentAt, s.viewsSent = now, true
 	view := s.hosts.view()
 	unsent := lo.Keys(s.hosts.unsent)
 	slices.Sort(unsent)
