--- a/review/rig/pipeline.go
+++ b/review/rig/pipeline.go
@@ -19,7 +19,7 @@
 	// listBytes is the length of a list, which its worker sends in chunks.
 	listBytes = 100_000
 	// brokenShare is the share of its answers that the faulty worker breaks off.
-	brokenShare       = 0.05
+	brokenShare       = 0.02
 	pipelineSeconds   = 20
 	pipelineClients   = 12
 	viewsBehind       = 4
