--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -20,6 +20,8 @@
 	id      string
 	stamped bool
 	header  http.Header
+	// closing is set for an answer that closes the connection.
+	closing bool
 	body    []byte
 	// err is set for an answer that is no answer or not whole, or for none.
 	err  error
@@ -43,9 +45,9 @@
 }
 
 func (q request) head() string {
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\n", q.method, q.path, q.id)
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n", q.method, q.path, wire.RequestID, q.id)
 	if q.deadlineMs > 0 {
-		text += fmt.Sprintf("Deadline-Ms: %d\r\n", q.deadlineMs)
+		text += fmt.Sprintf("%s: %d\r\n", wire.Deadline, q.deadlineMs)
 	}
 	text += q.extra
 	switch {
@@ -80,8 +82,8 @@
 	}
 	body, err := io.ReadAll(response.Body)
 	return reply{
-		status: response.StatusCode, id: response.Header.Get("Request-Id"), stamped: response.Header.Get("Response-Stamp") != "",
-		header: response.Header, body: body, err: err,
+		status: response.StatusCode, id: response.Header.Get(wire.RequestID), stamped: response.Header.Get(wire.Stamp) != "",
+		header: response.Header, body: body, err: err, closing: response.Close,
 	}
 }
 
--- a/review/rig/config.go
+++ b/review/rig/config.go
@@ -20,7 +20,7 @@
 	seen := map[string]bool{}
 	for _, r := range routes {
 		rows = append(rows, map[string]any{
-			"name": "r-" + r.name, "host": "h.example", "path-prefix": "/" + r.name + "/", "route-type": r.kind, "timeout-ms": r.timeoutMs,
+			"name": "r-" + r.name, "host": "h.example", "path-prefix": "/" + r.name + "/", wire.RouteType: r.kind, "timeout-ms": r.timeoutMs,
 			"target-latency-ms": r.aimMs, "priority": r.priority, "service": r.service, "max-attempts": r.attempts,
 		})
 		if !seen[r.service] {
--- a/review/rig/host.go
+++ b/review/rig/host.go
@@ -119,7 +119,7 @@
 // isReady asks the host as the platform does.
 func (h *host) isReady() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + h.ready + "/readiness")
+	response, err := client.Get("http://" + h.ready + wire.Readiness)
 	if err != nil {
 		return false
 	}
--- a/review/rig/pipeline.go
+++ b/review/rig/pipeline.go
@@ -46,9 +46,9 @@
 	broken := map[string]bool{}
 	faulty.respond = func(c net.Conn, r *http.Request, _ []byte, _ func()) {
 		time.Sleep(60 * time.Millisecond)
-		id := r.Header.Get("Request-Id")
+		id := r.Header.Get(wire.RequestID)
 		breaksOff := trouble && rand.Float64() < brokenShare
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: stamp-%s\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
+		_, _ = io.WriteString(c, successHead(id)+"Transfer-Encoding: chunked\r\n\r\n")
 		for sent := 0; sent < listBytes; sent += 10_000 {
 			if breaksOff && sent >= listBytes*8/10 {
 				mu.Lock()
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -53,6 +53,9 @@
 			if err != nil {
 				return
 			}
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetReadBuffer(64 << 10) // What a worker has not read waits at its host.
+			}
 			go w.serve(c)
 		}
 	}()
@@ -68,10 +71,10 @@
 		if err != nil {
 			return
 		}
-		id := request.Header.Get("Request-Id")
-		if expected := request.Header.Get("Expect-Instance"); expected != "" && expected != w.id {
+		id := request.Header.Get(wire.RequestID)
+		if expected := request.Header.Get(wire.ExpectInstance); expected != "" && expected != w.id {
 			_, _ = io.Copy(io.Discard, request.Body)
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, w.id)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", wire.RequestID, id, wire.NotExecuted, wire.InstanceID, w.id)
 			continue
 		}
 		if w.early != nil && w.early(c, request) {
@@ -83,11 +86,11 @@
 			return
 		}
 		w.mu.Lock()
-		w.runs = append(w.runs, run{id: id, method: request.Method, uri: request.RequestURI, worker: w.id, caller: request.Header.Get("Caller-Service"), at: time.Now(), bytes: len(body), sum: sha256.Sum256(body)})
+		w.runs = append(w.runs, run{id: id, method: request.Method, uri: request.RequestURI, worker: w.id, caller: request.Header.Get(wire.CallerService), at: time.Now(), bytes: len(body), sum: sha256.Sum256(body)})
 		w.mu.Unlock()
 		w.d.record.add("worker %s runs %s", w.id, id)
 		standard := func() {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: stamp-%s\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", id, id, len(id), id)
+			_, _ = fmt.Fprintf(c, "%sKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", successHead(id), len(id), id)
 		}
 		if w.respond != nil {
 			w.respond(c, request, body, standard)
@@ -97,6 +100,11 @@
 	}
 }
 
+// successHead returns the head of a success without its framing.
+func successHead(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp-%s\r\n", wire.RequestID, id, wire.Stamp, id)
+}
+
 // beatBody returns the body of a heartbeat with the next sequence.
 func (w *worker) beatBody(state string) []byte {
 	w.mu.Lock()
@@ -104,7 +112,7 @@
 	w.sequence++
 	body, err := json.Marshal(map[string]any{
 		"address": w.address, "born": w.born, "info": map[string]any{"service": w.h.service, "version": "v1", "zone": w.h.zone, "slots": w.slots},
-		"status": map[string]any{"state": state, "sequence": w.sequence, "cold-remaining-ms": 0},
+		"status": map[string]any{"state": state, "sequence": w.sequence, wire.ColdRemaining: 0},
 	})
 	check(err)
 	return body
