--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -124,9 +124,15 @@
 	newestVersion int
 }
 
-// hostLimits are limits of the machines in the settings of the hosts.
+// hostLimits are limits of the machines in the settings of the hosts, and of clients in the
+// configuration.
 type hostLimits struct {
 	memoryMB, descriptors int
+	// maxBodyBytes replaces the longest body of the configuration of the stand-in when it is
+	// not 0.
+	maxBodyBytes int
+	// withholdsConfiguration is set if no configuration is written at the start.
+	withholdsConfiguration bool
 }
 
 func newCluster(dir string, random *rand.Rand, hosts int, keyed bool) *cluster {
@@ -136,7 +142,9 @@
 func newLimitedCluster(dir string, random *rand.Rand, hosts int, keyed bool, limits hostLimits) *cluster {
 	c := &cluster{dir: dir, limits: limits, random: random, keyed: keyed, store: standin.New(), done: make(chan struct{}), executions: map[string][]*execution{}}
 	c.store.SetFault(func(string) standin.Fault { return c.activeStoreFault() })
-	c.writeVersion()
+	if !limits.withholdsConfiguration {
+		c.writeVersion()
+	}
 	for i := range hosts {
 		h := &host{cluster: c, name: fmt.Sprintf("host-%c", 'a'+i), service: services[i%2], addresses: map[string]string{}}
 		pid := os.Getpid()
@@ -213,6 +221,9 @@
 		standin.Route{Path: "once-one", Service: "one", AtMostOnce: true}, standin.Route{Path: "once-two", Service: "two", AtMostOnce: true},
 		standin.Route{Path: versionPath(c.version), Service: "one"},
 	)
+	if c.limits.maxBodyBytes != 0 {
+		c.configuration = standin.WithMaxBody(c.configuration, c.limits.maxBodyBytes)
+	}
 	c.store.Write(platform.ConfigKey, c.configuration)
 	c.writtenAt = time.Now()
 }
