ingress: heads and responses of requests in flight count in the memory of clients

Seen: clients that send requests ahead and read nothing ended a host. 320 of them brought a host of 64 MB to 102 MB with responses of 60 kB, to 351 MB with heads of 3,000 short fields (828 MB while an endpoint hangs), and 1,400 a host of 184 MB to 4,461 MB.

Cause: up to 17 requests of a connection are in flight. Their parsed heads (255 KB for 15 KB with 3,000 fields) and the responses that wait for their turn or their reader were in no account.

Change: the account of heldmemory holds both, for each connection. A head is counted by its length and lines before it is parsed; room for the response is reserved before the request is forwarded, by the mean of its route; a response beyond that is taken when it arrives. A connection whose client does not read or send gives way like a body. Without memory a request ahead of others waits for its turn; only the first of a connection is refused, with 503 no_memory, its ID and a retry-after of 1 s, and has not run. What a connection waits for is kept for each side, in connlimit: a response that was written used to hide that a head was incomplete.

Why it works: what is in flight is admitted only within the account, and what depends on a client that does nothing is given up first.

--- a/call/call.go
+++ b/call/call.go
@@ -142,12 +142,13 @@
 	ReasonQuotaExceeded      = "quota_exceeded"
 	ReasonLinkFull           = "link_full"
 	ReasonNestedRejected     = "nested_refused"
+	ReasonNoMemory           = "no_memory"
 )
 
 // IsLackOfRoom reports whether a call was rejected because there was no room for it in time.
 func IsLackOfRoom(reason string) bool {
 	switch reason {
-	case ReasonGateFull, ReasonCannotFinishInTime, ReasonLinkFull, ReasonNestedRejected:
+	case ReasonGateFull, ReasonCannotFinishInTime, ReasonLinkFull, ReasonNestedRejected, ReasonNoMemory:
 		return true
 	}
 	return false
--- a/heldmemory/account.go
+++ b/heldmemory/account.go
@@ -1,10 +1,11 @@
-// Package heldmemory bounds the memory that clients can make a process hold with bodies
-// that they have not finished or that wait for an endpoint. It does no I/O and takes the
-// time as an argument.
+// Package heldmemory bounds the memory that clients can make a process hold: with bodies
+// that they have not finished or that wait for an endpoint, with the heads of their
+// requests, and with responses that they do not read. It does no I/O and takes the time as
+// an argument.
 //
-// It is made for many clients that send long bodies at once and stop before their end. A
-// body without progress gives way to one that needs its memory; where none does, the new
-// one waits or is refused, and the process lives.
+// It is made for many clients that send much at once and stop before the end, or read
+// nothing. What waits for a client without progress gives way to others that need its
+// memory; where nothing does, the new one waits or is refused, and the process lives.
 package heldmemory
 
 import (
@@ -27,26 +28,40 @@
 	// minProgressBytes is what a body must receive within StallTime to count as one that
 	// makes progress: 16 kbit/s. A client that sends a byte a second does not.
 	minProgressBytes = 2 << 10
-	// shortBytes is the length up to which a body may use the reserve, so that short
-	// calls go on while long bodies use all the rest. A call with a form has a few KB.
-	shortBytes = 16 << 10
-	// reserveFraction of the account is kept for short bodies.
+	// shortBytes is what a holder may take of the reserve, so that short calls go on while
+	// others use all the rest. A call with a form has a few KB, and one that is forwarded
+	// holds room for its head and its response.
+	shortBytes = 32 << 10
+	// reserveFraction of the account is kept for short calls.
 	reserveFraction = 0.25
+	// overdrawnStallTime replaces StallTime for memory that has been taken already. It is
+	// longer than clients that read need for a round trip.
+	overdrawnStallTime = 100 * time.Millisecond
 )
 
-// Account is the memory that bodies may hold. It is safe for concurrent use.
+// headFieldBytes is what a field of a head takes in an http.Header besides its text: a share
+// of the map and a slice of values. Heads of 3,000 fields take 84 to 111 bytes a field (Go
+// 1.26).
+const headFieldBytes = 128
+
+// HeadBytes returns what a head of the given length and number of lines takes once it is
+// parsed, with a copy of its text.
+func HeadBytes(length, lines int) int64 { return 2*int64(length) + headFieldBytes*int64(lines) }
+
+// Account is the memory that clients may hold. It is safe for concurrent use.
 type Account struct {
 	clock          boottime.Clock
 	limit, reserve int64
 
 	mu   sync.Mutex
 	used int64
-	// receiving holds the bodies that wait for bytes of their client, the one whose
-	// progress is oldest first.
+	// receiving holds those that wait for their client, the one whose progress is oldest
+	// first.
 	receiving *list.List
-	// freed is closed and replaced when memory is returned.
-	freed chan struct{}
-	// gaveWay and refused count bodies.
+	// freed is closed and replaced when memory is returned and waiting is not 0.
+	freed   chan struct{}
+	waiting int
+	// gaveWay and refused count holders.
 	gaveWay, refused int64
 }
 
@@ -58,44 +73,64 @@
 	}
 }
 
-// Holder is the memory of one body. The methods of one Holder are called by one goroutine
-// at a time, but for Close.
+// Holder is the memory of one body, or of the requests of one connection. It is safe for
+// concurrent use.
 type Holder struct {
 	account *Account
-	// giveUp ends the body. It is called without the lock, once.
+	// giveUp ends what holds the memory. It is called without the lock, once.
 	giveUp func()
 	bytes  int64
-	// place is the holder's element in receiving, nil while it waits for no bytes.
-	place *list.Element
+	// receiving is set while the holder waits for its client. place is its element in
+	// Account.receiving then, nil without memory.
+	receiving bool
+	place     *list.Element
 	// since is when the current measure of progress began, with received bytes so far. It
-	// is put off by the time for which the body has waited for nothing from its client,
+	// is put off by the time for which the holder has waited for nothing from its client,
 	// which began at pausedAt.
 	since, pausedAt boottime.Time
 	received        int64
 	gaveUp          bool
 }
 
-// NewHolder returns the holder of a body that has no memory yet. The account calls giveUp
-// when the body has to give way.
+// NewHolder returns a holder that has no memory yet. The account calls giveUp when it has to
+// give way.
 func (a *Account) NewHolder(giveUp func()) *Holder {
 	now := a.clock()
 	return &Holder{account: a, giveUp: giveUp, since: now, pausedAt: now}
 }
 
-// Receiving records whether the body waits for bytes of its client. Only such a body can
-// give way: the others do not depend on their client.
+// Receiving records whether the holder waits for its client to send or to read. Only such a
+// holder can give way: the others do not depend on their client.
 func (h *Holder) Receiving(receiving bool) {
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	switch {
-	case h.gaveUp || receiving == (h.place != nil):
-	case receiving:
-		h.since += a.clock() - h.pausedAt
-		a.insert(h)
-	default:
-		a.receiving.Remove(h.place)
-		h.place, h.pausedAt = nil, a.clock()
+	if h.gaveUp || receiving == h.receiving {
+		return
+	}
+	now := a.clock()
+	if h.receiving = receiving; receiving {
+		h.since += now - h.pausedAt
+		h.enlist()
+		return
+	}
+	h.pausedAt = now
+	h.delist()
+}
+
+// enlist adds the holder to those that can give way, if it waits for its client and has
+// memory. The caller holds the lock.
+func (h *Holder) enlist() {
+	if h.receiving && h.bytes > 0 && h.place == nil {
+		h.account.insert(h)
+	}
+}
+
+// delist is the opposite of enlist.
+func (h *Holder) delist() {
+	if h.place != nil {
+		h.account.receiving.Remove(h.place)
+		h.place = nil
 	}
 }
 
@@ -112,7 +147,7 @@
 	h.place = a.receiving.InsertAfter(h, before)
 }
 
-// Received records bytes of the client.
+// Received records bytes that the client has sent or read.
 func (h *Holder) Received(bytes int) {
 	a := h.account
 	a.mu.Lock()
@@ -123,16 +158,25 @@
 	}
 }
 
-// Grow takes further memory for the body. While there is none, it waits for other bodies
-// to end or to give way, for GrowTimeout at most. It reports false if the body got no
-// memory. The body must not be receiving.
+// TryGrow takes further memory for the holder if there is any, without waiting.
+func (h *Holder) TryGrow(bytes int64) bool {
+	ok, _, _ := h.tryGrow(bytes, false)
+	return ok
+}
+
+// Grow takes further memory for the holder. While there is none, it waits for others to end
+// or to give way, for GrowTimeout at most. It reports false if the holder got no memory. The
+// holder must not be receiving.
 func (h *Holder) Grow(ctx context.Context, bytes int64) bool {
+	if h.TryGrow(bytes) {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(ctx, GrowTimeout)
 	defer cancel()
 	for {
-		ok, wait, freed := h.tryGrow(bytes)
-		if ok {
-			return true
+		ok, wait, freed := h.tryGrow(bytes, true)
+		if ok || freed == nil {
+			return ok
 		}
 		timer := time.NewTimer(wait)
 		select {
@@ -141,66 +185,110 @@
 		case <-ctx.Done():
 			timer.Stop()
 			h.account.mu.Lock()
+			h.account.waiting--
 			h.account.refused++
 			h.account.mu.Unlock()
 			return false
 		}
 		timer.Stop()
+		h.account.mu.Lock()
+		h.account.waiting--
+		h.account.mu.Unlock()
 	}
 }
 
-// tryGrow takes memory if there is any, for which it has bodies without progress give way.
-// It otherwise returns when to try again: after wait, or once memory is freed.
-func (h *Holder) tryGrow(bytes int64) (ok bool, wait time.Duration, freed <-chan struct{}) {
+// Take records memory that is in use already, such as that of a response that has arrived.
+// Where it exceeds the account, others that wait for their client give way.
+func (h *Holder) Take(bytes int64) {
 	a := h.account
 	a.mu.Lock()
 	if h.gaveUp {
 		a.mu.Unlock()
-		return false, StallTime, a.freed
+		return
+	}
+	h.add(bytes)
+	ended, _ := a.giveWay(a.limit, overdrawnStallTime)
+	a.mu.Unlock()
+	for _, other := range ended {
+		other.giveUp()
+	}
+}
+
+// add adds memory to the holder. The measure of its progress begins with the first. The
+// caller holds the lock.
+func (h *Holder) add(bytes int64) {
+	if h.bytes == 0 {
+		h.since, h.received = h.account.clock(), 0
+		h.pausedAt = h.since
 	}
+	h.bytes += bytes
+	h.account.used += bytes
+	h.enlist()
+}
+
+// tryGrow takes memory if there is any, for which it has others without progress give way.
+// It otherwise returns when to try again: after wait, or once memory is freed. It counts a
+// caller that waits then. freed is nil if the holder has given way and gets no memory.
+func (h *Holder) tryGrow(bytes int64, waits bool) (ok bool, wait time.Duration, freed <-chan struct{}) {
+	a := h.account
+	a.mu.Lock()
 	limit := a.limit
 	if h.bytes+bytes > shortBytes {
 		limit -= a.reserve
 	}
 	var ended []*Holder
-	now := a.clock()
 	wait = StallTime
-	for a.used+bytes > limit {
+	if !h.gaveUp {
+		if a.used+bytes > limit && bytes <= limit {
+			ended, wait = a.giveWay(limit-bytes, StallTime)
+		}
+		// The holder itself may have given way.
+		if ok = !h.gaveUp && a.used+bytes <= limit; ok {
+			h.add(bytes)
+		}
+	}
+	if !ok && waits && !h.gaveUp {
+		a.waiting++
+		freed = a.freed
+	}
+	a.mu.Unlock()
+	for _, other := range ended {
+		other.giveUp()
+	}
+	return ok, wait, freed
+}
+
+// giveWay has holders without progress for the given time give way until no more than limit
+// is in use. The caller holds the lock, and ends the returned holders without it. If more is
+// in use still, wait is the time until the next one may give way.
+func (a *Account) giveWay(limit int64, stallTime time.Duration) (ended []*Holder, wait time.Duration) {
+	now := a.clock()
+	for a.used > limit {
 		oldest := a.receiving.Front()
 		if oldest == nil {
 			break
 		}
 		other := oldest.Value.(*Holder)
-		if stalled := now - other.since; stalled < StallTime {
-			wait = StallTime - stalled
-			break
+		if stalled := now - other.since; stalled < stallTime {
+			return ended, stallTime - stalled
 		}
 		a.gaveWay++
 		ended = append(ended, other)
 		other.leave()
 	}
-	if ok = a.used+bytes <= limit; ok {
-		a.used += bytes
-		h.bytes += bytes
-	}
-	freed = a.freed
-	a.mu.Unlock()
-	for _, other := range ended {
-		other.giveUp()
-	}
-	return ok, wait, freed
+	return ended, stallTime
 }
 
-// leave has the body give way. The caller holds the lock. Its memory is free once its
-// goroutine has seen the end of the body, within milliseconds.
+// leave has the holder give way. The caller holds the lock. The memory is free once its
+// goroutines have seen the end, within milliseconds.
 func (h *Holder) leave() {
-	h.account.receiving.Remove(h.place)
-	h.place, h.gaveUp = nil, true
+	h.delist()
+	h.gaveUp = true
 	h.account.used -= h.bytes
 	h.bytes = 0
 }
 
-// Close returns the memory of the body. Calls after the first have no effect.
+// Close returns the memory of the holder. Calls after the first have no effect.
 func (h *Holder) Close() { h.Shrink(h.bytesHeld()) }
 
 func (h *Holder) bytesHeld() int64 {
@@ -209,7 +297,7 @@
 	return h.bytes
 }
 
-// Shrink returns a part of the memory of the body.
+// Shrink returns a part of the memory of the holder.
 func (h *Holder) Shrink(bytes int64) {
 	a := h.account
 	a.mu.Lock()
@@ -217,17 +305,16 @@
 	bytes = min(bytes, h.bytes)
 	h.bytes -= bytes
 	a.used -= bytes
-	if h.bytes == 0 && h.place != nil {
-		a.receiving.Remove(h.place)
-		h.place = nil
+	if h.bytes == 0 {
+		h.delist()
 	}
-	if bytes > 0 {
+	if bytes > 0 && a.waiting > 0 {
 		close(a.freed)
 		a.freed = make(chan struct{})
 	}
 }
 
-// GaveWay reports whether the body had to give way.
+// GaveWay reports whether the holder had to give way.
 func (h *Holder) GaveWay() bool {
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
@@ -237,7 +324,7 @@
 // Usage is the state of an account, for metrics.
 type Usage struct {
 	Used, Limit int64
-	// GaveWay and Refused count the bodies that ended for want of memory.
+	// GaveWay and Refused count the holders that ended for want of memory.
 	GaveWay, Refused int64
 }
 
--- a/heldmemory/account_test.go
+++ b/heldmemory/account_test.go
@@ -78,6 +78,39 @@
 		x.Close()
 		So(y.Grow(ctx, 150*kb), ShouldBeTrue)
 	})
+	inBubble("memory that is in use already has those that do not read give way, and not those that do", func() {
+		a, ended := heldmemory.NewAccount(400*kb, clock), ""
+		holder := func(name string) *heldmemory.Holder {
+			h := a.NewHolder(func() { ended += name })
+			h.Take(100 * kb)
+			h.Receiving(true)
+			return h
+		}
+		stalled, reading := holder("s"), holder("r")
+		for range 4 {
+			time.Sleep(50 * time.Millisecond)
+			reading.Received(16 * kb)
+		}
+		late := a.NewHolder(func() { ended += "l" })
+		late.Take(300 * kb)
+		So(ended, ShouldEqual, "s")
+		So(stalled.GaveWay(), ShouldBeTrue)
+		So(a.Usage().Used, ShouldEqual, 400*kb)
+		late.Take(100 * kb) // Nothing gives way: it is in use all the same.
+		So(a.Usage().Used, ShouldEqual, 500*kb)
+		So(stalled.Grow(ctx, kb), ShouldBeFalse)
+		So(a.NewHolder(nil).TryGrow(kb), ShouldBeFalse)
+		late.Close()
+		So(a.NewHolder(nil).TryGrow(200*kb), ShouldBeTrue)
+	})
+	inBubble("a request for more than the account has nothing give way", func() {
+		a := heldmemory.NewAccount(400*kb, clock)
+		h := a.NewHolder(func() { t.Error("gave way") })
+		So(h.Grow(ctx, 100*kb), ShouldBeTrue)
+		h.Receiving(true)
+		time.Sleep(time.Minute)
+		So(a.NewHolder(nil).TryGrow(401*kb), ShouldBeFalse)
+	})
 	inBubble("a body that waits goes on once memory is returned, and not beyond its call", func() {
 		a := heldmemory.NewAccount(400*kb, clock)
 		x, y := a.NewHolder(nil), a.NewHolder(nil)
--- a/hostnode/observe.go
+++ b/hostnode/observe.go
@@ -82,16 +82,16 @@
 		}))
 		return err
 	}
-	_, gaveWay := meter.Int64ObservableCounter("host_bodies_gave_way", metric.WithDescription("request bodies without progress that were given up for others"),
+	_, gaveWay := meter.Int64ObservableCounter("host_bodies_gave_way", metric.WithDescription("bodies and connections without progress that were given up for the memory of others"),
 		counterCallback(func() int64 { return memory().GaveWay }))
-	_, refused := meter.Int64ObservableCounter("host_bodies_refused", metric.WithDescription("request bodies for which there was no memory"),
+	_, refused := meter.Int64ObservableCounter("host_bodies_refused", metric.WithDescription("heads and bodies of requests, and requests with their responses, for which there was no memory"),
 		counterCallback(func() int64 { return memory().Refused }))
 	_, evicted := meter.Int64ObservableCounter("host_connections_evicted", metric.WithDescription("connections of clients that were closed for new ones"),
 		counterCallback(func() int64 { return connections().Evicted }))
 	_, closed := meter.Int64ObservableCounter("host_connections_refused", metric.WithDescription("connections of clients beyond the limit, closed without a response"),
 		counterCallback(func() int64 { return connections().Refused }))
 	return errors.Join(gaveWay, refused, evicted, closed,
-		gauge("host_body_bytes", "memory that request bodies hold", func() int64 { return memory().Used }),
+		gauge("host_body_bytes", "memory that requests and responses of clients hold", func() int64 { return memory().Used }),
 		gauge("host_connections", "open connections of clients", func() int64 { return int64(connections().Open) }))
 }
 
--- a/ingress/body.go
+++ b/ingress/body.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/connlimit"
 	"geraniumnotch.example/geraniumnotch/heldmemory"
 )
 
@@ -59,8 +60,8 @@
 
 // Read returns the next bytes.
 func (r clientReader) Read(p []byte) (int, error) {
-	r.c.setWaiting(waitsForBody)
-	defer r.c.setWaiting(waitsForNothing)
+	r.c.SetReading(connlimit.Body)
+	defer r.c.SetReading(connlimit.Nothing)
 	return r.source.Read(p)
 }
 
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -34,6 +34,9 @@
 	streamed *streamedBody
 	// held is the memory of the request body, nil before the body is read.
 	held *heldmemory.Holder
+	// head and room are the parts of the memory of the connection for the head and for the
+	// response.
+	head, room int64
 }
 
 func isDisconnect(err error) bool {
@@ -87,6 +90,7 @@
 	if x.held != nil {
 		x.held.Close()
 	}
+	c.held.Shrink(x.head + x.room)
 	c.server.config.Observer.Finished(&x.Exchange)
 	c.server.active.Add(-1)
 	c.mu.Lock()
@@ -119,9 +123,10 @@
 
 // handleRequest starts the exchange of a request. It reports false when no further
 // request can be read.
-func (c *connection) handleRequest(request *http.Request, started boottime.Time) bool {
+func (c *connection) handleRequest(request *http.Request, heldBytes int64, started boottime.Time) bool {
 	id, clientTimeout, err := c.server.config.Headers.ReadRequest(request.Header)
 	x := c.newExchange(id, started)
+	x.head = heldBytes
 	x.method = request.Method
 	x.closeAfter = request.Close || !request.ProtoAtLeast(1, 1)
 	if err != nil {
@@ -150,6 +155,9 @@
 		x.writeFailure(http.StatusServiceUnavailable, call.ReasonNodeStopping, drainRetryAfter)
 		return false
 	}
+	if !x.holdRoom() {
+		return x.rejectForMemory(request)
+	}
 	if request.ContentLength == 0 {
 		return x.startWithoutBody(cl) && !isLast
 	}
@@ -286,6 +294,7 @@
 	x.refund()
 	switch r.Outcome {
 	case call.Answered:
+		x.holdResponse(r.Response)
 		x.writeResponse(r.Response)
 	case call.Rejected:
 		x.c.server.ages.RecordRejection(x.c.server.config.Clock())
--- a/ingress/head.go
+++ b/ingress/head.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 )
 
 // errMalformedHead means that a request head can be read in more than one way. What one
@@ -47,10 +49,10 @@
 	return err
 }
 
-// checkHead reads the next request head ahead and returns an error if it is malformed. The
-// head can then be read from c.r as before. A head that does not arrive whole is left to
-// the parser, which knows why.
-func (c *connection) checkHead() error {
+// checkHead reads the next request head ahead and returns what it takes once it is parsed,
+// or an error if it is malformed. The head can then be read from c.r as before. A head that
+// does not arrive whole is left to the parser, which knows why.
+func (c *connection) checkHead() (parsedBytes int64, err error) {
 	var check headCheck
 	for {
 		buffered, _ := c.r.Peek(c.r.Buffered()) // Returns what is there.
@@ -59,10 +61,13 @@
 			head = append(append(make([]byte, 0, len(buffered)+len(c.ahead.ahead)), buffered...), c.ahead.ahead...)
 		}
 		if done, err := check.scan(head); done || err != nil {
-			return err
+			return headBytes(check.scanned, check.lines), err
+		}
+		if !c.holdAhead() {
+			return 0, heldmemory.ErrNoMemory
 		}
 		if c.ahead.more() != nil {
-			return nil // The parser gets the same error.
+			return headBytes(len(head), check.lines), nil // The parser gets the same error.
 		}
 	}
 }
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -19,6 +19,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/ingress"
 	"geraniumnotch.example/geraniumnotch/localendpoint"
 	"geraniumnotch.example/geraniumnotch/mesh"
@@ -44,6 +45,8 @@
 	registration    *localendpoint.Registration
 	// newerPlan is set while another host has a newer plan.
 	newerPlan atomic.Bool
+	// memory is what clients may hold; nil limits nothing.
+	memory *heldmemory.Account
 
 	finished chan ingress.Exchange
 }
@@ -106,7 +109,10 @@
 
 // newBubbleServer is newTestServer with an in-memory network and the clock of the
 // synctest bubble.
-func newBubbleServer(handler http.HandlerFunc) *testServer {
+func newBubbleServer(handler http.HandlerFunc) *testServer { return newLimitedServer(handler, 0) }
+
+// newLimitedServer is newBubbleServer with the memory that clients may hold, 0 for any.
+func newLimitedServer(handler http.HandlerFunc, memoryBytes int64) *testServer {
 	network, began := faultnet.New(), time.Now()
 	listen := func(address string) net.Listener {
 		l, err := network.Listen(address)
@@ -121,6 +127,9 @@
 	network.Delay(backend, dialing, time.Millisecond)
 	ts := &testServer{listener: listen(server), backendListener: listen(backend), dialer: network.Dialer(dialing)}
 	ts.clock = func() boottime.Time { return time.Since(began) }
+	if memoryBytes > 0 {
+		ts.memory = heldmemory.NewAccount(memoryBytes, ts.clock)
+	}
 	ts.start(handler)
 	return ts
 }
@@ -144,7 +153,7 @@
 	directory := peers.New(peers.Config{Self: peers.Record{Host: "host", Address: "127.0.0.1:1"}, Clock: ts.clock, Local: gate})
 	ts.server = ingress.New(ingress.Config{
 		Plan: &ts.plan, Headers: platform.Headers{}, Keys: platform.Headers{}, NewerPlanKnown: ts.newerPlan.Load, Clock: ts.clock, Observer: ts, RunningCalls: gate.RunningCalls,
-		LocalService: func() mesh.ServiceName { return "s" },
+		LocalService: func() mesh.ServiceName { return "s" }, Memory: ts.memory,
 		Forwarder: &ingress.Forwarder{
 			Domains: placement.NewDomains(),
 			Headers: platform.Headers{},
--- a/ingress/response.go
+++ b/ingress/response.go
@@ -110,12 +110,13 @@
 // Write writes to the client. It fails when the client reads nothing for writeTimeout.
 func (c *connection) Write(b []byte) (int, error) {
 	written := 0
-	defer c.setWaiting(waitsForNothing)
+	defer c.SetWriting(false)
 	for written < len(b) {
-		c.setWaiting(waitsForReader)
+		c.SetWriting(true)
 		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // The write returns the error.
 		n, err := c.conn.Write(b[written:min(len(b), written+maxWriteBytes)])
 		written += n
+		c.held.Received(n)
 		if err != nil {
 			return written, err
 		}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -19,6 +19,7 @@
 
 	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/connlimit"
 	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/internal/readlimit"
 	"geraniumnotch.example/geraniumnotch/internal/sockpoll"
@@ -102,7 +103,7 @@
 	RunningCalls *localendpoint.RunningCalls
 	// Quotas limits the calls of workspaces; nil limits nothing.
 	Quotas Quotas
-	// Memory is what request bodies may hold; nil limits nothing.
+	// Memory is what clients may hold with requests and responses; nil limits nothing.
 	Memory *heldmemory.Account
 	// MaxConnections bounds the open connections; 0 limits nothing.
 	MaxConnections int
@@ -225,6 +226,8 @@
 
 // connection is a client connection.
 type connection struct {
+	// Waits is what the connection waits for.
+	*connlimit.Waits
 	server  *Server
 	conn    net.Conn
 	r       *bufio.Reader
@@ -235,12 +238,13 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 
-	// waitMu guards what the connection waits for. It is a leaf lock: the server reads it
-	// for all connections while it holds its own.
-	waitMu       sync.Mutex
-	waiting      waitKind
-	waitingSince boottime.Time
-	evicted      bool
+	// held is the memory of the heads and the responses of the requests in flight.
+	held *heldmemory.Holder
+	// heldAhead is the part of it for a head that is being read. Only readRequests uses it.
+	heldAhead int64
+	// lacksMemory is set if the last head was read without memory for it. Only readRequests
+	// uses it.
+	lacksMemory bool
 
 	mu sync.Mutex
 	// pending counts the requests without a complete response.
@@ -275,6 +279,8 @@
 	c.ahead = &aheadReader{source: c.limited}
 	c.r = bufio.NewReaderSize(c.ahead, readBufferBytes)
 	c.ctx, c.cancel = context.WithCancelCause(context.Background())
+	c.held = s.config.Memory.NewHolder(c.evict)
+	c.Waits = connlimit.NewWaits(s.config.Clock, c.held)
 	close(c.lastDone)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -349,25 +355,35 @@
 		started := c.server.config.Clock()
 		c.limited.SetLimit(limits.HeaderBytes)
 		_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // The next read returns the error.
-		request, err := c.readRequest()
-		c.setWaiting(waitsForNothing)
+		request, bytes, err := c.readRequest()
+		c.releaseAhead()
 		c.limited.RemoveLimit()
 		if err != nil {
 			c.rejectHead(err)
 			return
 		}
-		if !c.handleRequest(request, started) {
+		if !c.handleRequest(request, bytes, started) {
 			return
 		}
 	}
 }
 
-// readRequest reads the head of the next request.
-func (c *connection) readRequest() (*http.Request, error) {
-	if err := c.checkHead(); err != nil {
-		return nil, err
+// readRequest reads the head of the next request. It returns the memory that the connection
+// holds for it.
+func (c *connection) readRequest() (*http.Request, int64, error) {
+	bytes, err := c.checkHead()
+	c.SetReading(connlimit.Nothing)
+	if err != nil {
+		return nil, 0, err
 	}
-	return http.ReadRequest(c.r)
+	if !c.holdHead(bytes) {
+		return nil, 0, heldmemory.ErrNoMemory
+	}
+	request, err := http.ReadRequest(c.r)
+	if err != nil {
+		c.held.Shrink(bytes)
+	}
+	return request, bytes, err
 }
 
 // awaitRequest makes the connection idle, unless a part of the next request has been
@@ -380,7 +396,7 @@
 	}
 	if c.r.Buffered() > 0 || len(c.ahead.ahead) > 0 {
 		c.state = stateReading
-		c.setWaiting(waitsForHead)
+		c.SetReading(connlimit.Head)
 		return true
 	}
 	if c.state != stateClosing {
@@ -395,7 +411,7 @@
 func (c *connection) setIdleDeadline() {
 	deadline := time.Time{}
 	if c.pending == 0 {
-		c.setWaiting(waitsForRequest)
+		c.SetReading(connlimit.Request)
 		deadline = time.Now().Add(c.limits().IdleTimeout)
 	}
 	_ = c.conn.SetReadDeadline(deadline) // The next read returns the error.
@@ -437,7 +453,7 @@
 		return false
 	}
 	c.state = stateReading
-	c.setWaiting(waitsForHead)
+	c.SetReading(connlimit.Head)
 	return true
 }
 
@@ -484,9 +500,11 @@
 
 // rejectHead responds to a request whose head cannot be read.
 func (c *connection) rejectHead(err error) {
-	status, reason := http.StatusBadRequest, "malformed_request"
+	status, reason, retryAfter := http.StatusBadRequest, "malformed_request", time.Duration(0)
 	var timeout interface{ Timeout() bool }
 	switch {
+	case errors.Is(err, heldmemory.ErrNoMemory):
+		status, reason, retryAfter = http.StatusServiceUnavailable, call.ReasonNoMemory, noMemoryRetryAfter
 	case c.limited.Exceeded():
 		status, reason = http.StatusRequestHeaderFieldsTooLarge, "head_too_long"
 	case errors.As(err, &timeout) && timeout.Timeout():
@@ -496,5 +514,5 @@
 	}
 	x := c.newExchange("", c.server.config.Clock())
 	x.closeAfter = true
-	x.writeFailure(status, reason, 0)
+	x.writeFailure(status, reason, retryAfter)
 }
