callmux: calls of other hosts count in the memory of clients

Seen: the heads of a crowd's calls for the endpoints of other hosts brought its own host to 684 MB; the hosts that get the calls held their heads, in maps again, without a bound.

Cause: a call that waits for the endpoint held its parsed head and a body of up to 4 KB outside of the account. Only fetched bodies were in it.

Change: a call takes memory for its head and body when it is opened. If there is none it is rejected at once (no_memory, not sent), with the load of the gate, and its host may ask another one. A response counts until it has been sent.

Unit test: of 100 heads of 1,000 fields, 2 to 8 find room in 1 MiB, a short one always does.

--- a/callmux/bodies.go
+++ b/callmux/bodies.go
@@ -32,12 +32,12 @@
 	// pendingBytes is the total length of the bodies that are being fetched.
 	bytesPerSecond float64
 	pendingBytes   atomic.Int64
-	// memory is what fetched bodies may hold; nil limits nothing.
+	// memory is what the calls of peers may hold; nil limits nothing.
 	memory *heldmemory.Account
 }
 
-// SetMemory bounds the memory of the bodies that are fetched. It must be called before the
-// first call.
+// SetMemory bounds the memory of the calls of peers: their heads, the bodies that are
+// fetched, and responses that have not been sent. It must be called before the first call.
 func (b *BodyLimiter) SetMemory(account *heldmemory.Account) { b.memory = account }
 
 // expectedTime returns the expected time to fetch another body of the given length.
@@ -141,12 +141,8 @@
 	stop := context.AfterFunc(ctx, func() { b.in.body.closeWithError(ErrBodyIncomplete) })
 	defer stop()
 	b.ended = ctx.Done()
-	if account := b.in.permit.limiter.memory; account != nil {
-		// The body is whole at the other host, so that it does not depend on a client.
-		b.in.held = account.NewHolder(nil)
-		if !b.in.held.Grow(ctx, b.bytes) {
-			return nil, heldmemory.ErrNoMemory
-		}
+	if b.in.held != nil && !b.in.held.Grow(ctx, b.bytes) {
+		return nil, heldmemory.ErrNoMemory
 	}
 	whole := make([]byte, b.bytes)
 	if _, err := io.ReadFull(b, whole); err != nil {
--- a/callmux/bodies_test.go
+++ b/callmux/bodies_test.go
@@ -4,6 +4,9 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"geraniumnotch.example/geraniumnotch/boottime"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 )
 
 // Guards against long bodies that occupy a slow network link for seconds, and against
@@ -38,3 +41,30 @@
 		}
 	})
 }
+
+// Guards against calls of other hosts that take more than the memory of this one while they
+// wait for its endpoint.
+func TestCallsOfPeersAreBounded(t *testing.T) {
+	Convey("heads of 1,000 fields, and memory for five", t, func() {
+		limiter := NewBodyLimiter(0)
+		account := heldmemory.NewAccount(1<<20, boottime.Now)
+		limiter.SetMemory(account)
+		open := &openFrame{Header: make([]string, 2000)}
+		var calls []*incoming
+		for range 100 {
+			if in := (&incoming{permit: permit{limiter: limiter}}); in.hold(open) {
+				calls = append(calls, in)
+			}
+		}
+		So(len(calls), ShouldBeBetween, 2, 8)
+		Convey("leave room for a call with few fields", func() {
+			So((&incoming{permit: permit{limiter: limiter}}).hold(&openFrame{Header: make([]string, 20)}), ShouldBeTrue)
+		})
+		Convey("return their memory", func() {
+			for _, in := range calls {
+				in.release()
+			}
+			So(account.Usage().Used, ShouldEqual, 0)
+		})
+	})
+}
--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -82,7 +82,8 @@
 	body   *pipe
 	window *sendWindow
 	permit permit
-	// held is the memory of a fetched body, nil before it is fetched. Only serve uses it.
+	// held is the memory of the call, nil if nothing limits it. It does not depend on a
+	// client: the call is whole, or its body is at the other host.
 	held *heldmemory.Holder
 	// transfer is nil while long responses are not ordered.
 	transfer *hostlink.Transfer
@@ -392,6 +393,16 @@
 		return err
 	}
 	f := &received.Open
+	in := &incoming{permit: permit{limiter: m.bodyLimiter}}
+	if !in.hold(f) {
+		// The queue of the link may be full, and this goroutine reads the link.
+		go func() {
+			_ = m.sendResult(transport.KindAttemptFailed, failedFrame{ // The peer detects a lost link itself.
+				Stream: f.Stream, Outcome: call.Rejected, Reason: call.ReasonNoMemory, RetryAfter: heldmemory.StallTime, Load: m.localLoad(),
+			})
+		}()
+		return nil
+	}
 	c := &call.Call{
 		ID: f.ID, Method: f.Method, URI: f.URI, Host: f.Host, Header: unflattenHeader(f.Header),
 		Caller: f.Caller, Service: f.Service, Kind: f.Kind, Rank: f.Rank, Nested: f.Nested,
@@ -402,7 +413,7 @@
 	c.Remaining -= delay
 	c.TargetRemaining -= delay
 	ctx, cancel := context.WithCancel(context.Background())
-	in := &incoming{cancel: cancel, window: newSendWindow(windowBytes), permit: permit{limiter: m.bodyLimiter}}
+	in.cancel, in.window = cancel, newSendWindow(windowBytes)
 	now := m.clock()
 	in.transfer = m.hostLink.NewTransfer(hostlink.Need{Nested: c.Nested, Rank: c.Rank, TargetBy: now + c.TargetRemaining, DeadlineBy: now + c.Remaining})
 	if in.transfer != nil {
@@ -427,6 +438,7 @@
 	if m.closed {
 		m.mu.Unlock()
 		cancel()
+		in.release()
 		return nil
 	}
 	m.incoming[f.Stream] = in
@@ -436,6 +448,44 @@
 	return nil
 }
 
+const (
+	// callBytes is what a call of a peer takes besides its head and its body: goroutines,
+	// the call and its state.
+	callBytes = 4 << 10
+	// messageFieldBytes is what a field of its head takes in the message: two strings.
+	messageFieldBytes = 32
+)
+
+// hold takes memory for a call that a peer opens, without waiting. It reports false if there
+// is none.
+func (in *incoming) hold(f *openFrame) bool {
+	account := in.permit.limiter.memory
+	if account == nil {
+		return true
+	}
+	length, fields := len(f.URI), len(f.Header)/2
+	for _, text := range f.Header {
+		length += len(text)
+	}
+	in.held = account.NewHolder(nil)
+	return in.held.TryGrow(callBytes + int64(len(f.Body)) + heldmemory.HeadBytes(length, fields) + messageFieldBytes*int64(fields))
+}
+
+// localLoad returns the load that a rejection states which the gate has not seen.
+func (m *Mux) localLoad() call.Load {
+	if gate, ok := m.local.(interface{ Load() call.Load }); ok {
+		return gate.Load()
+	}
+	return call.Load{}
+}
+
+// release returns the memory of the call.
+func (in *incoming) release() {
+	if in.held != nil {
+		in.held.Close()
+	}
+}
+
 // decodeOpen decodes any of the messages that start a call.
 func decodeOpen(msg transport.Message) (openForFrame, error) {
 	var f openForFrame
@@ -466,9 +516,7 @@
 func (m *Mux) serve(ctx context.Context, stream uint64, in *incoming, c *call.Call) {
 	defer func() {
 		m.removeIncoming(stream, in)
-		if in.held != nil {
-			in.held.Close()
-		}
+		in.release()
 	}()
 	defer in.transfer.Close()
 	if !in.awaitRelease(ctx, c) {
@@ -483,6 +531,9 @@
 	}
 	a := r.Response
 	defer a.Close()
+	if in.held != nil {
+		in.held.Take(int64(len(a.Body)))
+	}
 	inline, rest := a.Body, io.Reader(a.Stream)
 	if len(a.Body) > chunkBytes {
 		// A long frame would delay the other calls on the link.
--- a/localendpoint/gate.go
+++ b/localendpoint/gate.go
@@ -269,6 +269,14 @@
 	}
 }
 
+// Load returns the load of the endpoint, zero if there is none.
+func (g *Gate) Load() call.Load {
+	if e := g.registration.Current(); e != nil {
+		return e.Queue.Load()
+	}
+	return call.Load{}
+}
+
 func (g *Gate) report(c *call.Call, e *Endpoint, r call.Result, queueDelay, serviceTime time.Duration) call.Result {
 	r.Load, r.HasLoad = e.Queue.Load(), true
 	g.observer.Attempted(c, e, r, queueDelay, serviceTime)
