connlimit: connections and heads at the other listeners of a host

Seen: 96 clients with incomplete heads at the listener of announcements brought a host of 64 MB to 260 MB (metrics 116 MB, other hosts 79 MB, readiness 75 MB); 320 idle connections to any of them opened 341 to 343 descriptors where the machine has 256.

Cause: these servers of net/http accept any number of connections, and heads of up to 1 MiB, which net/http parses as they arrive.

Change: connlimit.Limiter bounds the connections of a net/http server. For a new one it closes the connection that has been idle for longest, or one whose client has done nothing for 1 s. The bytes and lines of heads count in the account as they are read, bodies that a handler holds as well. Heads have 16 KiB at most. Links of other hosts may take a fifth of the descriptors, the other listeners 3% each. Writes end when a client reads nothing for 10 s.

--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -320,7 +320,12 @@
 			return err
 		}
 		n.servers = append(n.servers, server)
-		go func() { _ = server.Serve(l) }() // Ends when the listener is closed.
+		fraction := controlDescriptorFraction
+		if address == s.Listen.Peers {
+			fraction = peerDescriptorFraction
+		}
+		limited := n.limitControl(server, l, fraction)
+		go func() { _ = server.Serve(limited) }() // Ends when the listener is closed.
 	}
 	n.calls = calls
 	n.callsEnded = make(chan struct{})
