transport: long messages of peers count in the memory of clients

Seen: 96 clients that open links under made-up names, each with 31 MiB of a message that never ends, brought a host of 64 MB to 4,018 MB.

Cause: a message of up to 32 MiB was read whole, outside of any account.

Change: what a message has beyond 64 KB counts as it is read and until it has been handled.

Who reaches this listener can still open links under names of other hosts (docs/design/client-limits.md).

--- a/distribution/config.go
+++ b/distribution/config.go
@@ -16,6 +16,7 @@
 	"github.com/samber/lo"
 
 	"geraniumnotch.example/geraniumnotch/authority"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/kvstore"
 	"geraniumnotch.example/geraniumnotch/lists"
 	"geraniumnotch.example/geraniumnotch/membership"
@@ -109,6 +110,8 @@
 	OnMembers func(*membership.View)
 	// HandshakesPerSecond bounds the links accepted per second.
 	HandshakesPerSecond float64
+	// Memory is what long messages of peers may hold; nil limits nothing.
+	Memory *heldmemory.Account
 	// MaxConcurrentBodies bounds the whole bodies that are being sent at any time.
 	MaxConcurrentBodies int
 }
--- a/distribution/service.go
+++ b/distribution/service.go
@@ -127,8 +127,8 @@
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.manager = transport.NewManager(transport.Config{
 		Self: c.Self.Host, Logger: c.Logger, Meter: c.Meter, Dial: c.Dial,
-		HandshakesPerSecond: c.HandshakesPerSecond,
-		OnUp:                s.linkUp, OnDown: s.linkDown, OnMessage: s.receive,
+		HandshakesPerSecond: c.HandshakesPerSecond, Memory: c.Memory,
+		OnUp: s.linkUp, OnDown: s.linkDown, OnMessage: s.receive,
 	})
 	return s, nil
 }
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -75,7 +75,7 @@
 	Dial transport.DialFunc
 	// Local executes the calls of peers at the endpoint of this host.
 	Local call.Runner
-	// BodyMemory is what request bodies that are fetched from peers may hold; nil limits
+	// BodyMemory is what the calls and the long messages of peers may hold; nil limits
 	// nothing.
 	BodyMemory *heldmemory.Account
 	// HostLink orders the long responses to peers; nil orders nothing.
@@ -196,7 +196,8 @@
 	d.manager = transport.NewManager(transport.Config{
 		Self: config.Self.Host, Logger: config.Logger, Dial: config.Dial, QueueLength: linkQueueFrames,
 		HandshakesPerSecond: handshakesPerSecond, Meter: &d.remoteTraffic,
-		OnUp: d.onLinkUp, OnDown: d.onLinkDown, OnMessage: d.onMessage, IsIdle: d.isIdle,
+		Memory: config.BodyMemory,
+		OnUp:   d.onLinkUp, OnDown: d.onLinkDown, OnMessage: d.onMessage, IsIdle: d.isIdle,
 	})
 	return d
 }
--- a/transport/link.go
+++ b/transport/link.go
@@ -9,6 +9,7 @@
 
 	"github.com/coder/websocket"
 
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/mesh"
 )
 
@@ -35,6 +36,8 @@
 	conn   *websocket.Conn
 	queue  chan outgoingFrame
 	meter  atomic.Pointer[Meter]
+	// held is the memory of a long frame that is being read, nil if nothing limits it.
+	held *heldmemory.Holder
 
 	closeOnce sync.Once
 	closed    chan struct{}
@@ -229,9 +232,22 @@
 		return nil, err
 	}
 	defer l.receiving.Store(false)
-	return io.ReadAll(progressReader{l, r})
+	r = progressReader{l, r}
+	if l.held == nil {
+		return io.ReadAll(r)
+	}
+	frame, err := io.ReadAll(io.LimitReader(r, uncountedFrameBytes))
+	if err != nil || len(frame) < uncountedFrameBytes {
+		return frame, err
+	}
+	rest, err := (&heldmemory.Reader{Holder: l.held, Source: r}).ReadUpTo(context.Background(), -1, MaxFrameBytes)
+	return append(frame, rest...), err
 }
 
+// uncountedFrameBytes is the length of a frame from which it counts in the memory that
+// clients may hold. Messages of calls are shorter.
+const uncountedFrameBytes = 64 << 10
+
 // progressReader records when each part of a frame arrives, so that a link which
 // is receiving a large frame is not closed as one that receives nothing.
 type progressReader struct {
@@ -263,5 +279,8 @@
 		}
 		l.meter.Load().received(m.Kind, frameBytes(len(frame), !l.dialed))
 		handle(l, m)
+		if l.held != nil {
+			l.held.Close()
+		}
 	}
 }
--- a/transport/manager.go
+++ b/transport/manager.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"geraniumnotch.example/geraniumnotch/events"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/mesh"
 )
 
@@ -71,6 +72,9 @@
 	// IsIdle reports whether a link carries no exchange, such as a call. A link that another
 	// one replaces stays open until it is idle. Nil means that every link is idle.
 	IsIdle func(*Link) bool
+	// Memory is what long frames may hold while they are read and handled; nil limits
+	// nothing.
+	Memory *heldmemory.Account
 }
 
 // Manager owns the links of a node: at most one per peer.
@@ -293,6 +297,10 @@
 func (m *Manager) run(link *Link) {
 	defer m.runningLinks.Done()
 	eventLinkUp.Log(m.config.Logger, "host", link.peer, "dialed", link.dialed)
+	if m.config.Memory != nil {
+		link.held = m.config.Memory.NewHolder(link.Close)
+		defer link.held.Close()
+	}
 	m.config.OnUp(link)
 	go link.writeFrames()
 	err := link.readFrames(m.config.OnMessage)
