node: connections and heads of geraniumnotchd are bounded

Seen: 600 clients that sent one request each and stayed took all 512 descriptors of geraniumnotchd, and no caller was served within 15 s (idle connections stay for two minutes). Incomplete heads of 60 KB brought it to 292 MB to 324 MB of the 256 MB that it may use, at each listener but that of calls; 300 proposals of 8 MiB that stop short of their end at the operator API to 5,089 MB, 100 messages at the peer listener to 2,820 MB.

Cause: its five servers accept any number of connections; the account of 64 MiB held the bodies of calls only.

Change: connlimit limits the five servers. Connections of callers are bounded by the new setting [limits] connections (1024) and a quarter of the files that the process may open, those of the other listeners by parts of these files and 1024. One account of 64 MiB holds heads, whole or not, bodies, the buffer of a response, bodies of operators and endpoints, and long messages of peers. Metrics geraniumnotch_clients_* and geraniumnotch_connections*.

--- a/node/callpath.go
+++ b/node/callpath.go
@@ -84,7 +84,7 @@
 	p.endpoints = endpoints.New(endpoints.Config{
 		Logger: p.logger.Named("endpoints"), Meter: p.metrics.Meter(), Policy: p.options.Gate, OnChange: p.setAnnounced,
 	})
-	p.server = newServer(p.components, "endpoints", p.listeners.endpoints, p.endpoints.Handler())
+	p.server = newServer(p.components, serverEndpoints, p.listeners.endpoints, p.endpoints.Handler())
 	return nil
 }
 
@@ -195,11 +195,11 @@
 	if err := p.base.Provision(injector); err != nil {
 		return err
 	}
-	p.running, p.bodyMemory = proxy.NewRunningCalls(), proxy.NewBodyMemory()
+	p.running = proxy.NewRunningCalls()
 	p.gate = proxy.NewGate(proxy.GateConfig{
-		Endpoints: p.endpoints, Running: p.running, Memory: p.bodyMemory, IsTrusted: p.isPeer, Logger: p.logger.Named("gate"),
+		Endpoints: p.endpoints, Running: p.running, Memory: p.clientMemory, IsTrusted: p.isPeer, Logger: p.logger.Named("gate"),
 	})
-	p.server = newServer(p.components, "call", p.listeners.call, p.gate)
+	p.server = newServer(p.components, serverCall, p.listeners.call, p.gate)
 	return nil
 }
 
@@ -241,11 +241,11 @@
 		MaxEjectedShare: p.settings.Selection.MaxEjectedShare, Logger: p.logger.Named("selection"), Meter: p.metrics.Meter(),
 	})
 	p.entry = proxy.NewEntry(proxy.EntryConfig{
-		Snapshot: &p.current, Selector: p.selector, Admission: p.admission, Claims: p.claims, Running: p.running, Memory: p.bodyMemory,
+		Snapshot: &p.current, Selector: p.selector, Admission: p.admission, Claims: p.claims, Running: p.running, Memory: p.clientMemory,
 		Decisions: p.decisions, Dial: p.options.DialCall, Retry: p.options.Retry, RetryRatio: p.settings.Retry.BudgetShare,
 		Logger: p.logger.Named("entry"), Meter: p.metrics.Meter(),
 	})
-	p.server = newServer(p.components, "entry", p.listeners.entry, p.entry)
+	p.server = newServer(p.components, serverEntry, p.listeners.entry, p.entry)
 	p.drain = sync.OnceFunc(p.drainAll)
 	return nil
 }
--- /dev/null
+++ b/node/clientlimits.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"golang.org/x/sys/unix"
+
+	"geraniumnotch.example/geraniumnotch/settings"
+)
+
+// Names of the servers of a node.
+const (
+	serverEntry     = "entry"
+	serverCall      = "call"
+	serverOperator  = "operator"
+	serverPeer      = "peer"
+	serverEndpoints = "endpoints"
+)
+
+// descriptorFractions are the fractions of the descriptors of the process for the connections
+// of each server. The rest is for connections to gates, endpoints, peers and the store.
+var descriptorFractions = map[string]float64{
+	serverEntry: 0.25, serverCall: 0.25, serverPeer: 0.1, serverOperator: 0.04, serverEndpoints: 0.04,
+}
+
+// maxOtherConnections is the largest number of connections of a server that callers do not
+// use. Each takes about 20 KB.
+const maxOtherConnections = 1024
+
+// maxConnections returns the number of connections that each server may have.
+func maxConnections(limits settings.Limits, descriptors uint64) map[string]int {
+	connections := map[string]int{}
+	for name, fraction := range descriptorFractions {
+		most := maxOtherConnections
+		if name == serverEntry {
+			most = limits.Connections
+		}
+		connections[name] = int(min(float64(most), fraction*float64(descriptors)))
+	}
+	return connections
+}
+
+// descriptors returns the number of files that the process may open.
+func descriptors() uint64 {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return defaultDescriptors
+	}
+	return limit.Cur
+}
+
+// defaultDescriptors applies where the system does not tell: the usual limit of a login
+// session.
+const defaultDescriptors = 1024
--- a/node/control.go
+++ b/node/control.go
@@ -110,7 +110,7 @@
 	}
 	p.service = service
 	p.control.Store(service)
-	p.server = newServer(p.components, "peer", p.listeners.peer, service.Handler())
+	p.server = newServer(p.components, serverPeer, p.listeners.peer, service.Handler())
 	return nil
 }
 
@@ -128,6 +128,7 @@
 		Summaries: p.authority, Logger: p.logger.Named("control"), Meter: traffic, Dial: p.options.Dial,
 		Timing: timing, Members: membership.Options{SuspicionTimeout: s.Membership.SuspicionTimeout},
 		Rand: p.options.Rand, HandshakesPerSecond: p.options.HandshakesPerSecond,
+		Memory:    p.clientMemory,
 		OnVersion: p.snapshots.setVersion, OnMembers: p.snapshots.setView,
 	}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -48,6 +48,41 @@
 	return &controlMetrics{delay: delay}, errors.Wrap(err, "node: register the control plane metrics")
 }
 
+// observeClients registers the metrics of what clients hold.
+func observeClients(p *components) error {
+	meter := p.metrics.Meter()
+	var errs [6]error
+	bytes, err := meter.Int64ObservableGauge("geraniumnotch.clients.memory", metric.WithUnit("By"), metric.WithDescription("Memory that heads and bodies of requests hold."))
+	errs[0] = err
+	gaveWay, err := meter.Int64ObservableCounter("geraniumnotch.clients.gave.way", metric.WithDescription("Bodies and connections without progress that were given up for the memory of others."))
+	errs[1] = err
+	refused, err := meter.Int64ObservableCounter("geraniumnotch.clients.refused", metric.WithDescription("Heads and bodies for which there was no memory."))
+	errs[2] = err
+	open, err := meter.Int64ObservableGauge("geraniumnotch.connections", metric.WithDescription("Open connections by server."))
+	errs[3] = err
+	evicted, err := meter.Int64ObservableCounter("geraniumnotch.connections.evicted", metric.WithDescription("Connections that were closed for new ones, by server."))
+	errs[4] = err
+	closed, err := meter.Int64ObservableCounter("geraniumnotch.connections.refused", metric.WithDescription("Connections beyond the limit, closed without a response, by server."))
+	errs[5] = err
+	if err := errors.Join(errs[:]...); err != nil {
+		return errors.Wrap(err, "node: create the metrics of clients")
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		memory := p.clientMemory.Usage()
+		o.ObserveInt64(bytes, memory.Used)
+		o.ObserveInt64(gaveWay, memory.GaveWay)
+		o.ObserveInt64(refused, memory.Refused)
+		for name, limiter := range p.limiters {
+			usage, server := limiter.Usage(), metric.WithAttributes(attribute.String("server", name))
+			o.ObserveInt64(open, int64(usage.Open), server)
+			o.ObserveInt64(evicted, usage.Evicted, server)
+			o.ObserveInt64(closed, usage.Refused, server)
+		}
+		return nil
+	}, bytes, gaveWay, refused, open, evicted, closed)
+	return errors.Wrap(err, "node: register the metrics of clients")
+}
+
 // recordActivation records the convergence time of a version, which is active now.
 func (m *controlMetrics) recordActivation(v *lists.Version) {
 	m.delay.Record(context.Background(), time.Since(v.Change.Time).Seconds())
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/samber/do/v2"
 
 	"geraniumnotch.example/geraniumnotch/admission"
+	"geraniumnotch.example/geraniumnotch/connlimit"
 	"geraniumnotch.example/geraniumnotch/distribution"
 	"geraniumnotch.example/geraniumnotch/endpoints"
 	"geraniumnotch.example/geraniumnotch/gate"
@@ -93,12 +94,16 @@
 	selector  *selection.Selector
 	decisions *proxy.DecisionLog
 	running   *proxy.RunningCalls
-	// bodyMemory is what the request bodies at the entry and the gate may hold.
-	bodyMemory *heldmemory.Account
-	gate       *proxy.Gate
-	entry      *proxy.Entry
-	claims     proxy.Claims
-	drain      func()
+	// clientMemory is what clients may hold with the heads and bodies of requests, and
+	// connections the number of connections of each server by its name.
+	clientMemory *heldmemory.Account
+	connections  map[string]int
+	// limiters are those of the servers by their names.
+	limiters map[string]*connlimit.Limiter
+	gate     *proxy.Gate
+	entry    *proxy.Entry
+	claims   proxy.Claims
+	drain    func()
 	// stopRequested is closed by requestStop.
 	stopRequested chan struct{}
 	requestStop   func()
@@ -145,7 +150,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &components{settings: s, options: options, logger: options.Logger, metrics: registry, stopRequested: make(chan struct{})}
+	p := &components{settings: s, options: options, logger: options.Logger, metrics: registry, limiters: map[string]*connlimit.Limiter{}, stopRequested: make(chan struct{})}
+	p.clientMemory, p.connections = proxy.NewClientMemory(), maxConnections(s.Limits, descriptors())
 	p.requestStop = sync.OnceFunc(func() { close(p.stopRequested) })
 	if err := p.listeners.open(s.Listen); err != nil {
 		return nil, err
@@ -157,6 +163,10 @@
 		p.listeners.close()
 		return nil, errors.Wrapf(err, "node: assemble host %s", s.Node.Host)
 	}
+	if err := observeClients(p); err != nil {
+		p.listeners.close()
+		return nil, err
+	}
 	return &Node{settings: s, injector: injector, kernel: k, components: p}, nil
 }
 
--- a/node/operator.go
+++ b/node/operator.go
@@ -39,7 +39,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics.Handler())
 	mux.Handle("/", operator.NewHandler(p.authority.Authority, operatorView{p.components}, p.logger.Named("operator")))
-	p.server = newServer(p.components, "operator", p.listeners.operator, mux)
+	p.server = newServer(p.components, serverOperator, p.listeners.operator, mux)
 	return nil
 }
 
--- a/node/server.go
+++ b/node/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"geraniumnotch.example/geraniumnotch/connlimit"
 	"geraniumnotch.example/geraniumnotch/proxy"
 )
 
@@ -23,8 +24,20 @@
 }
 
 func newServer(p *components, name string, listener net.Listener, handler http.Handler) *server {
-	s := &server{components: p, name: name, listener: listener, http: proxy.NewServer(handler, p.logger.Named(name))}
+	s := &server{components: p, name: name, http: proxy.NewServer(handler, p.logger.Named(name))}
 	s.http.ConnState = s.trackUnused
+	config := connlimit.Config{Connections: p.connections[name], Memory: p.clientMemory}
+	if name == serverEntry || name == serverCall {
+		config.RequestBytes = proxy.CallBytes
+	} else {
+		config.HoldsBodies = true
+	}
+	limiter := connlimit.New(config)
+	limiter.Apply(s.http)
+	if p.limiters != nil {
+		p.limiters[name] = limiter
+	}
+	s.listener = limiter.Listener(listener)
 	return s
 }
 
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -28,14 +28,17 @@
 	DefaultMaxBufferedBodyBytes = 64 << 10
 	// MaxKeyedBodyBytes is the largest body of a keyed call.
 	MaxKeyedBodyBytes = 1 << 20
-	// DefaultBodyMemoryBytes is what the request bodies of a node may hold together: 64 of
-	// the longest, or 1,024 of those that can be retried.
-	DefaultBodyMemoryBytes = 64 << 20
+	// DefaultClientMemoryBytes is what clients may hold at a node together: 64 of the longest
+	// bodies, or 1,024 of those that can be retried.
+	DefaultClientMemoryBytes = 64 << 20
+	// CallBytes is what a call takes besides its head and its body: the buffer of its
+	// response.
+	CallBytes = maxBufferedResponseBytes
 )
 
-// NewBodyMemory returns the account for the request bodies of a node.
-func NewBodyMemory() *heldmemory.Account {
-	return heldmemory.NewAccount(DefaultBodyMemoryBytes, boottime.Now)
+// NewClientMemory returns the account for what clients hold at a node.
+func NewClientMemory() *heldmemory.Account {
+	return heldmemory.NewAccount(DefaultClientMemoryBytes, boottime.Now)
 }
 
 // EntryConfig configures an Entry. Snapshot, Selector and Admission are
@@ -58,7 +61,7 @@
 	// MaxBufferedBodyBytes replaces DefaultMaxBufferedBodyBytes when it is not zero.
 	MaxBufferedBodyBytes int64
 	// Memory is what request bodies may hold, shared with the Gate of the same node; nil
-	// means an account of DefaultBodyMemoryBytes.
+	// means an account of DefaultClientMemoryBytes.
 	Memory *heldmemory.Account
 	// Dial replaces the dialer of connections to gates, for fault injection.
 	Dial   DialFunc
@@ -90,7 +93,7 @@
 		cfg.Running = NewRunningCalls()
 	}
 	if cfg.Memory == nil {
-		cfg.Memory = NewBodyMemory()
+		cfg.Memory = NewClientMemory()
 	}
 	if cfg.MaxBufferedBodyBytes == 0 {
 		cfg.MaxBufferedBodyBytes = DefaultMaxBufferedBodyBytes
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -37,7 +37,7 @@
 	Now       func() time.Time
 	Logger    hclog.Logger
 	// Memory is what request bodies may hold, shared with the Entry of the same node; nil
-	// means an account of DefaultBodyMemoryBytes.
+	// means an account of DefaultClientMemoryBytes.
 	Memory *heldmemory.Account
 }
 
@@ -55,7 +55,7 @@
 		cfg.Now = time.Now
 	}
 	if cfg.Memory == nil {
-		cfg.Memory = NewBodyMemory()
+		cfg.Memory = NewClientMemory()
 	}
 	if cfg.Running == nil {
 		cfg.Running = NewRunningCalls()
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -93,6 +93,15 @@
 		Help: "Longest wait for one call to the platform's service when idempotency keys are claimed.",
 		set:  duration(func(s *Settings) *time.Duration { return &s.Store.Timeout }, 10*time.Millisecond, time.Minute),
 	},
+	{
+		Section: "limits", Name: "connections", Default: "1024", Expected: "a whole number from 16 to 65536",
+		Help: "Connections of callers that may be open, a quarter of the files that the process may open at most. Idle connections are closed for new ones, then those whose caller has done nothing for 1 s.",
+		set: func(s *Settings, t string) bool {
+			n, err := strconv.Atoi(t)
+			s.Limits.Connections = n
+			return err == nil && n >= 16 && n <= 1<<16
+		},
+	},
 	{
 		Section: "log", Name: "level", Default: "info", Expected: "trace, debug, info, warn or error",
 		Help: "Lowest level that is logged to standard error.",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,6 +15,7 @@
 	Listen     Listen
 	Peers      Peers
 	Store      Store
+	Limits     Limits
 	Log        Log
 	Membership Membership
 	Retry      Retry
@@ -51,6 +52,12 @@
 	Timeout time.Duration
 }
 
+// Limits bounds what callers may hold.
+type Limits struct {
+	// Connections is the number of connections of callers that may be open.
+	Connections int
+}
+
 // Log holds the level and format of the log on standard error.
 type Log struct {
 	Level string
