proxy: decisions keep 256 bytes of a method and a path

Seen: 4,800 requests with paths of 60 KB from 40 connections, none of them for a route, brought geraniumnotchd to 314 MB of 256 MB. Methods of that length: 227 MB.

Cause: the log holds 4,096 decisions, each with the path and the method as they came. Both are parts of the request line, which they keep alive.

Change: a decision has copies of the first 256 bytes.

--- a/proxy/decisions.go
+++ b/proxy/decisions.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +53,13 @@
 	firstAttempt [1]AttemptRecord
 }
 
+// maxDecisionText is the length of a method or a path in a decision. The log holds thousands
+// of decisions, and a head may be 64 KiB long.
+const maxDecisionText = 256
+
+// clip returns the beginning of a text, without the rest of it or of the head in memory.
+func clip(text string) string { return strings.Clone(text[:min(len(text), maxDecisionText)]) }
+
 // DecisionLog holds the most recent decisions in a ring buffer. Adding takes no lock.
 type DecisionLog struct {
 	next atomic.Uint64
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -146,7 +146,7 @@
 	defer e.calls.end()
 	c := &call{entry: e, w: w, r: r, id: newCallID(), started: e.cfg.Now()}
 	c.root = c.id
-	c.decision = &Decision{Call: c.id, Method: r.Method, Path: r.URL.Path, Start: c.started}
+	c.decision = &Decision{Call: c.id, Method: clip(r.Method), Path: clip(r.URL.Path), Start: c.started}
 	c.decision.Attempts = c.decision.firstAttempt[:0]
 	defer c.finish()
 	if failure := c.serve(); failure != nil {
