proxy: bodies over body-mb are refused

Seen: geraniumnotchd accepted bodies of any length: 100 callers that announce 1 GB, or send chunks without end, each had a body passed on to an endpoint until the deadline of the route, which is minutes for uploads.

Cause: only bodies of keyed calls had a limit.

A longer announced body is refused with 413 and has not run. One without a length is cut at the limit, so that the endpoint does not take a part for the whole, and its caller gets 413 with the outcome of the attempt.

--- a/node/callpath.go
+++ b/node/callpath.go
@@ -241,7 +241,7 @@
 		MaxEjectedShare: p.settings.Selection.MaxEjectedShare, Logger: p.logger.Named("selection"), Meter: p.metrics.Meter(),
 	})
 	p.entry = proxy.NewEntry(proxy.EntryConfig{
-		Snapshot: &p.current, Selector: p.selector, Admission: p.admission, Claims: p.claims, Running: p.running, Memory: p.clientMemory,
+		Snapshot: &p.current, Selector: p.selector, Admission: p.admission, Claims: p.claims, Running: p.running, Memory: p.clientMemory, MaxBodyBytes: p.settings.Limits.BodyBytes,
 		Decisions: p.decisions, Dial: p.options.DialCall, Retry: p.options.Retry, RetryRatio: p.settings.Retry.BudgetShare,
 		Logger: p.logger.Named("entry"), Meter: p.metrics.Meter(),
 	})
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -117,6 +117,9 @@
 	switch {
 	case a.body.endedEarly():
 		f.reason, f.detail = mesh.ReasonCancelled, "the request body ended early"
+		if a.body.tooLong.Load() {
+			f.reason, f.detail, f.status = mesh.ReasonMalformed, "the request body is too long", http.StatusRequestEntityTooLarge
+		}
 		a.fail(selection.ClassNeutral, f)
 	case errors.Is(c.ctx.Err(), context.DeadlineExceeded):
 		f.reason, f.detail = mesh.ReasonDeadline, "no answer before the deadline"
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -85,8 +85,23 @@
 	return &requestBody{length: int64(len(content)), buffered: content, held: held}, nil
 }
 
-// errTooLarge is returned for the body of a keyed call above the limit.
-var errTooLarge = errors.New("proxy: request body too large for a keyed call")
+// errTooLarge is returned for a body above the limit.
+var errTooLarge = errors.New("proxy: request body too large")
+
+// limitedBody returns errTooLarge for what follows after the longest body.
+type limitedBody struct {
+	io.ReadCloser
+	remaining int64
+}
+
+// Read returns the next bytes.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.remaining -= int64(n); b.remaining < 0 {
+		return 0, errTooLarge
+	}
+	return n, err
+}
 
 // identityEncoding is shared by all requests and never modified.
 var identityEncoding = []string{"identity"}
@@ -122,6 +137,8 @@
 	stream io.ReadCloser
 	state  atomic.Int32
 	failed atomic.Bool
+	// tooLong is set if the body is longer than the limit.
+	tooLong atomic.Bool
 }
 
 // Read reads from the caller's body.
@@ -131,6 +148,7 @@
 	}
 	n, err := b.stream.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
+		b.tooLong.Store(errors.Is(err, errTooLarge))
 		b.failed.Store(true)
 	}
 	return n, err
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -193,6 +193,15 @@
 	if c.r.ContentLength != 0 {
 		_ = http.NewResponseController(c.w).SetReadDeadline(c.deadline.Add(bodyReadGrace))
 	}
+	maxBytes := c.entry.cfg.MaxBodyBytes
+	if c.r.ContentLength > maxBytes {
+		f := notExecuted(mesh.ReasonMalformed, "the request body is too long")
+		f.status = http.StatusRequestEntityTooLarge
+		return f
+	}
+	if c.r.ContentLength < 0 {
+		c.r.Body = &limitedBody{ReadCloser: c.r.Body, remaining: maxBytes}
+	}
 	if c.route.Keyed {
 		c.body, err = bufferRequestBody(c.w, c.r, c.entry.cfg.Memory, MaxKeyedBodyBytes)
 	} else {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -28,6 +28,8 @@
 	DefaultMaxBufferedBodyBytes = 64 << 10
 	// MaxKeyedBodyBytes is the largest body of a keyed call.
 	MaxKeyedBodyBytes = 1 << 20
+	// DefaultMaxBodyBytes is the longest body of a request.
+	DefaultMaxBodyBytes = 256 << 20
 	// DefaultClientMemoryBytes is what clients may hold at a node together: 64 of the longest
 	// bodies, or 1,024 of those that can be retried.
 	DefaultClientMemoryBytes = 64 << 20
@@ -60,6 +62,8 @@
 	RetryRatio float64
 	// MaxBufferedBodyBytes replaces DefaultMaxBufferedBodyBytes when it is not zero.
 	MaxBufferedBodyBytes int64
+	// MaxBodyBytes replaces DefaultMaxBodyBytes when it is not zero.
+	MaxBodyBytes int64
 	// Memory is what request bodies may hold, shared with the Gate of the same node; nil
 	// means an account of DefaultClientMemoryBytes.
 	Memory *heldmemory.Account
@@ -95,6 +99,9 @@
 	if cfg.Memory == nil {
 		cfg.Memory = NewClientMemory()
 	}
+	if cfg.MaxBodyBytes == 0 {
+		cfg.MaxBodyBytes = DefaultMaxBodyBytes
+	}
 	if cfg.MaxBufferedBodyBytes == 0 {
 		cfg.MaxBufferedBodyBytes = DefaultMaxBufferedBodyBytes
 	}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -102,6 +102,15 @@
 			return err == nil && n >= 16 && n <= 1<<16
 		},
 	},
+	{
+		Section: "limits", Name: "body-mb", Default: "256", Expected: "a whole number from 1 to 1048576",
+		Help: "Longest body of a request in MiB; a longer one gets status 413. Bodies of keyed calls have at most 1 MiB.",
+		set: func(s *Settings, t string) bool {
+			n, err := strconv.ParseInt(t, 10, 64)
+			s.Limits.BodyBytes = n << 20
+			return err == nil && n >= 1 && n <= 1<<20
+		},
+	},
 	{
 		Section: "log", Name: "level", Default: "info", Expected: "trace, debug, info, warn or error",
 		Help: "Lowest level that is logged to standard error.",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,6 +56,8 @@
 type Limits struct {
 	// Connections is the number of connections of callers that may be open.
 	Connections int
+	// BodyBytes is the longest body of a request.
+	BodyBytes int64
 }
 
 // Log holds the level and format of the log on standard error.
