ingress: no request is read behind an announced close

Cause: the response announces "Connection: close" while the body is being read, but reading went on with the next request once the body was whole.

Change: the announcement also ends the reading of requests. The body is read to its end as before.

--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -76,7 +76,11 @@
 	if c.state == stateIdle {
 		c.stopReadingLocked()
 	}
-	x.closeAfter = x.closeAfter || (c.pending == 1 && (c.state == stateClosed || x.hasUnreadBody()))
+	if c.pending == 1 && x.hasUnreadBody() {
+		// The body may still arrive. What follows it would be sent behind the last response.
+		c.stopReadingLocked()
+	}
+	x.closeAfter = x.closeAfter || (c.pending == 1 && c.state == stateClosed)
 }
 
 // hasUnreadBody reports whether a part of the request body has not been read. The next
