asynclog: lines that wait have 1 MiB at most

Seen: read, and shown by a unit test only. The ID of a request is as long as its client makes it, up to 16 KB, and is in the lines of its call. While standard output blocks, 512 such lines and the copy that is being written take 16 MB of a host, outside of any bound in bytes.

Change: the queue is bounded by 1 MiB as well; further lines are dropped and counted as before (host_log_lines_dropped_total).

Measured: of 400 lines of 16 KB 64 are kept, before all 400. The test failed before; 20 runs with the race detector pass.

--- a/asynclog/asynclog.go
+++ b/asynclog/asynclog.go
@@ -12,11 +12,17 @@
 // node's limit on log lines.
 const maxQueuedLines = 512
 
+// maxQueuedBytes is the length of those lines together. A usual line has 300 bytes, but the ID
+// of a request is as long as its client makes it.
+const maxQueuedBytes = 1 << 20
+
 // Writer queues lines and writes them to another writer in the background. It is
 // safe for concurrent use.
 type Writer struct {
-	out       io.Writer
-	queue     chan []byte
+	out   io.Writer
+	queue chan []byte
+	// queued is the length of the lines in the queue.
+	queued    atomic.Int64
 	dropped   atomic.Int64
 	closeOnce sync.Once
 	closing   chan struct{}
@@ -39,9 +45,15 @@
 		return len(line), nil
 	default:
 	}
+	if w.queued.Add(int64(len(line))) > maxQueuedBytes {
+		w.queued.Add(-int64(len(line)))
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.queue <- append([]byte(nil), line...):
 	default:
+		w.queued.Add(-int64(len(line)))
 		w.dropped.Add(1)
 	}
 	return len(line), nil
@@ -80,6 +92,7 @@
 	if _, err := w.out.Write(batch); err != nil {
 		w.dropped.Add(1)
 	}
+	w.queued.Add(-int64(len(batch)))
 }
 
 // Close writes the queued lines and ends the writer.
--- a/asynclog/asynclog_test.go
+++ b/asynclog/asynclog_test.go
@@ -49,6 +49,24 @@
 	})
 }
 
+// TestLongLines guards against a queue that takes many times the memory of usual lines while
+// the output blocks, and against one that stays full after that.
+func TestLongLines(t *testing.T) {
+	Convey("while the output blocks, lines of 16 KB are dropped beyond 1 MiB", t, func() {
+		out := &blockingWriter{entered: make(chan struct{}, 1), release: make(chan struct{})}
+		w := asynclog.New(out)
+		line := append(bytes.Repeat([]byte("x"), 16<<10-1), '\n')
+		for range 400 {
+			_, err := w.Write(line)
+			So(err, ShouldBeNil)
+		}
+		So(w.Dropped(), ShouldEqual, 400-64)
+		close(out.release)
+		w.Close()
+		So(out.Len(), ShouldEqual, 1<<20)
+	})
+}
+
 // TestWriteAfterClose guards against a panic at the end of a process when one of
 // its parts logs after the writer was closed.
 func TestWriteAfterClose(t *testing.T) {
