proxy: a response that is not read ends with the deadline of its call

Seen: a caller of geraniumnotchd that reads nothing of a long response kept the call, its connections and a slot of the endpoint for good; a planned stop without a drain limit waited for it.

Cause: the deadline of a call ends the reading of the response from the endpoint, not a write to the caller that blocks.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -84,6 +84,8 @@
 func (c *call) deliver(a *attempt) {
 	defer a.finish()
 	defer a.response.close()
+	// A client that does not read must not keep the slot of the endpoint.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(bodyReadGrace))
 	status := a.response.resp.StatusCode
 	c.decision.Status, c.decision.Outcome = status, mesh.OutcomeExecuted
 	c.finishClaim(mesh.OutcomeExecuted, status)
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -1,13 +1,18 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"geraniumnotch.example/geraniumnotch/mesh"
+	"geraniumnotch.example/geraniumnotch/transport/faultnet"
 )
 
 // Guards against bodies of any length, announced or just sent, and against an endpoint that
@@ -42,3 +47,24 @@
 		})
 	})
 }
+
+// Guards against a caller that does not read its response and keeps the slot of an endpoint
+// for good.
+func TestUnreadResponseEndsWithTheDeadline(t *testing.T) {
+	inBubble(t, "Given a caller that reads nothing of a long response", func(t *testing.T) {
+		m := newTestMeshOn(faultnet.New(), t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(mesh.HeaderCall, r.Header.Get(mesh.HeaderCall))
+			_, _ = io.WriteString(w, strings.Repeat("x", 1<<20)) // The caller does not read it.
+		}))
+		c, err := m.dial()(context.Background(), "tcp", m.entryServer.Listener.Addr().String())
+		So(err, ShouldBeNil)
+		_, err = io.WriteString(c, "GET /hurried HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+testToken+"\r\n\r\n")
+		So(err, ShouldBeNil)
+		time.Sleep(500 * time.Millisecond)
+		So(m.hosts[0].gate.InFlight(), ShouldEqual, 1)
+		time.Sleep(800*time.Millisecond + bodyReadGrace)
+		So(m.entry.InFlight(), ShouldEqual, 0)
+		So(m.hosts[0].gate.InFlight(), ShouldEqual, 0)
+		So(c.Close(), ShouldBeNil)
+	})
+}
