ingress: a response that breaks off takes no others with it

Cause: a response of unknown length over 64 KB is streamed while it arrives. When it breaks off, nothing can follow on its connection, but the requests behind it had been forwarded already.

Change: if later requests have been forwarded, a response of unknown length is read into the buffers for long responses, up to 1 MiB, as one of known length is. One that breaks off is a failed attempt then, which may be repeated or gets 502, and the others follow. While a response is streamed, requests behind it wait for its end before they are forwarded.

Remains: a streamed response of more than 1 MiB, or without room in the buffers, still takes those with it that were forwarded before.

--- a/call/buffers.go
+++ b/call/buffers.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync/atomic"
@@ -64,6 +65,52 @@
 	return nil
 }
 
+// unknownStepBytes is the memory that a response of unknown length takes at a time.
+const unknownStepBytes = 64 << 10
+
+// ReadUnknown reads a streamed response of unknown length into memory while the buffers have
+// room, up to the length of those that are held as a whole. The rest of a longer one stays in
+// the stream. It returns the error of a body that breaks off or does not end before ctx; the
+// response must not be used then. Close of the response releases the memory.
+func (b *Buffers) ReadUnknown(ctx context.Context, a *Response) error {
+	if a.Stream == nil || a.BodyBytes >= 0 {
+		return nil
+	}
+	stream := a.Stream
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() }) // The read returns an error.
+	defer stop()
+	var body []byte
+	reserved := int64(0)
+	a.release = func() { b.used.Add(-reserved) }
+	for {
+		if len(body) == cap(body) {
+			if len(body) >= wholeBodyBytes || !b.reserve(unknownStepBytes) {
+				a.Stream = &prefixedStream{Reader: io.MultiReader(bytes.NewReader(body), stream), Closer: stream}
+				return nil
+			}
+			reserved += unknownStepBytes
+			body = append(make([]byte, 0, len(body)+unknownStepBytes), body...)
+		}
+		n, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			_ = stream.Close() // The whole body was read.
+			a.Body, a.Stream, a.BodyBytes = body, nil, int64(len(body))
+			return nil
+		}
+		if err != nil {
+			a.Close()
+			return err
+		}
+	}
+}
+
+// prefixedStream is a stream of which the beginning has been read.
+type prefixedStream struct {
+	io.Reader
+	io.Closer
+}
+
 // readEnd reads the end of a body after its last byte, which the stream needs to see that
 // it is complete.
 func readEnd(r io.Reader) error {
--- a/call/buffers_test.go
+++ b/call/buffers_test.go
@@ -139,3 +139,46 @@
 		So(b.Used(), ShouldEqual, 0)
 	})
 }
+
+// Guards against a response of unknown length that loses bytes, counts as complete though it
+// broke off, or takes more than its bound.
+func TestResponsesOfUnknownLength(t *testing.T) {
+	ctx := context.Background()
+	for name, c := range map[string]struct {
+		length, limit int
+		whole         bool
+	}{
+		"an empty one":          {0, 1 << 20, true},
+		"one that fits":         {100_000, 1 << 20, true},
+		"one over the buffers":  {200_000, 128 << 10, false},
+		"one over the bound":    {1<<20 + 1, 4 << 20, false},
+		"one without any room":  {100_000, 1000, false},
+		"one of the bound less": {1<<20 - 1, 4 << 20, true},
+	} {
+		Convey(name, t, func() {
+			b, content := call.NewBuffers(int64(c.limit)), bytes.Repeat([]byte("0123456789"), c.length/10+1)[:c.length]
+			r := &call.Response{Status: 200, BodyBytes: -1, Stream: newBody(string(content), io.EOF)}
+			So(b.ReadUnknown(ctx, r), ShouldBeNil)
+			So(r.Stream == nil, ShouldEqual, c.whole)
+			So(b.Used(), ShouldBeLessThanOrEqualTo, c.limit)
+			got := r.Body
+			if r.Stream != nil {
+				var err error
+				got, err = io.ReadAll(r.Stream)
+				So(err, ShouldBeNil)
+				So(r.BodyBytes, ShouldEqual, -1)
+			} else {
+				So(r.BodyBytes, ShouldEqual, c.length)
+			}
+			So(bytes.Equal(got, content), ShouldBeTrue)
+			r.Close()
+			So(b.Used(), ShouldEqual, 0)
+		})
+	}
+	Convey("one that breaks off is an error and takes no memory", t, func() {
+		b, stream := call.NewBuffers(1<<20), newBody("1234", io.ErrUnexpectedEOF)
+		So(b.ReadUnknown(ctx, &call.Response{Status: 200, BodyBytes: -1, Stream: stream}), ShouldNotBeNil)
+		So(stream.isClosed(), ShouldBeTrue)
+		So(b.Used(), ShouldEqual, 0)
+	})
+}
--- a/call/call.go
+++ b/call/call.go
@@ -50,6 +50,9 @@
 	// Transfer is set for a call of another host whose response leaves by this host's link,
 	// while long responses are ordered there.
 	Transfer Transfer
+	// Followed reports whether later requests of the client have been forwarded, whose
+	// responses are lost if this one breaks off while it is streamed; nil means that none have.
+	Followed func() bool
 	// OnSilence is called when the host that the call was sent to does not confirm its
 	// arrival, which may have been lost; nil ignores it. It must not block.
 	OnSilence func()
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -22,6 +22,8 @@
 	c       *connection
 	method  string
 	started boottime.Time
+	// number counts the requests of the connection.
+	number int
 	// previousDone is closed when the response to the previous request of the
 	// connection is complete, done when the response to this one is.
 	previousDone, done chan struct{}
@@ -49,6 +51,8 @@
 	defer c.mu.Unlock()
 	x := &exchange{c: c, started: started, previousDone: c.lastDone, done: make(chan struct{})}
 	x.ID = id
+	c.requests++
+	x.number = c.requests
 	c.lastDone = x.done
 	c.pending++
 	c.server.active.Add(1)
@@ -106,9 +110,40 @@
 	case c.state == stateIdle:
 		c.setIdleDeadline()
 	}
+	if c.streaming == x {
+		c.streaming = nil
+	}
 	close(x.done)
 }
 
+// isFollowed reports whether a later request of the connection has been forwarded.
+func (x *exchange) isFollowed() bool {
+	x.c.mu.Lock()
+	defer x.c.mu.Unlock()
+	return x.c.lastForwarded > x.number
+}
+
+// setForwarded records that the request is forwarded.
+func (x *exchange) setForwarded() {
+	x.c.mu.Lock()
+	defer x.c.mu.Unlock()
+	x.c.lastForwarded = x.number
+}
+
+// setStreaming records that the response of x is streamed until x has finished.
+func (c *connection) setStreaming(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streaming = x
+}
+
+// isStreaming reports whether a response is being streamed, or will be.
+func (c *connection) isStreaming() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.streaming != nil
+}
+
 // fail ends the responses of the connection after an incomplete one, so that the client
 // does not mistake it for a complete one or the next response for the rest of it. The
 // client can still read the responses before it.
@@ -220,7 +255,8 @@
 		s.config.Keys.SetWorkspace(request.Header, x.workspace.Name)
 	}
 	return &call.Call{
-		ID: x.ID, Method: request.Method, URI: request.RequestURI, Host: request.Host, Header: request.Header,
+		Followed: x.isFollowed,
+		ID:       x.ID, Method: request.Method, URI: request.RequestURI, Host: request.Host, Header: request.Header,
 		Caller: s.config.LocalService(), Service: part.Service, Kind: x.Route.Kind, Rank: x.Rank, ClassRank: classRank, Workspace: x.Workspace, Nested: x.Nested,
 		Remaining: timeout, TargetRemaining: min(x.Route.LatencyTarget-x.Age, timeout), BodyBytes: request.ContentLength,
 	}
@@ -229,14 +265,16 @@
 // startWithoutBody forwards a request without a body, concurrently with those
 // before it if it may be executed twice.
 func (x *exchange) startWithoutBody(cl *call.Call) bool {
-	if cl.Kind != 0 && !cl.Idempotent() || x.c.pendingCount() > maxPipelined {
+	if cl.Kind != 0 && !cl.Idempotent() || x.c.pendingCount() > maxPipelined || x.c.isStreaming() {
 		// A request that must not be executed twice is sent only after the earlier
-		// responses, because one of them may close the connection.
+		// responses, because one of them may close the connection. None is sent while an
+		// earlier response is streamed: it may break off.
 		if !x.awaitTurn() {
 			x.finishCancelled()
 			return false
 		}
 	}
+	x.setForwarded()
 	go x.forward(x.c.ctx, cl)
 	return true
 }
@@ -299,6 +337,9 @@
 	switch r.Outcome {
 	case call.Answered:
 		x.holdResponse(r.Response)
+		if r.Response.Stream != nil {
+			x.c.setStreaming(x)
+		}
 		x.writeResponse(r.Response)
 	case call.Rejected:
 		x.c.server.ages.RecordRejection(x.c.server.config.Clock())
--- a/ingress/forward.go
+++ b/ingress/forward.go
@@ -212,6 +212,11 @@
 	if r.Response.Status < http.StatusBadRequest && r.Response.BodyBytes >= 0 {
 		s.forwarder.Sizes.Observe(s.route, r.Response.BodyBytes)
 	}
+	if r.Response.BodyBytes < 0 && s.c.Followed != nil && s.c.Followed() {
+		if err := s.forwarder.Buffers.ReadUnknown(ctx, r.Response); err != nil {
+			return call.Result{Outcome: call.Broken, Reason: call.ReasonResponseTruncated, Sent: true}
+		}
+	}
 	if err := s.forwarder.Buffers.ReadWhole(ctx, r.Response); err != nil {
 		return call.Result{Outcome: call.Broken, Reason: call.ReasonResponseTruncated, Sent: true}
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -254,6 +254,11 @@
 	// failed is set when a response was not written completely. No response may
 	// follow it.
 	failed bool
+	// requests counts the requests, lastForwarded is the number of the latest one without a
+	// body that was forwarded.
+	requests, lastForwarded int
+	// streaming is the latest exchange whose response is streamed, nil for none.
+	streaming *exchange
 	// lastDone is closed when the latest request has its response.
 	lastDone chan struct{}
 }
