ingress: memory that was short once refuses no later request

Seen: in a read-through. A request that was read without memory for its head and refused for another reason, such as a route that does not exist, left its mark: all later requests of the connection got 503 no_memory. Two streamed responses of a connection at a time shared one mark, so that the end of the first let further requests overtake the second.

Change: the mark is set anew for each head; streamed responses are counted.

Measured: the new unit test failed before (503 where 200 is expected).

--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -43,7 +43,7 @@
 	eventRolloutMalformed  = events.Define(2573, hclog.Error, "order of a roll-out rejected", "Correct the order; the versions keep the calls that they have.")
 	eventRolloutNotWritten = events.Define(2574, hclog.Warn, "status of a roll-out not written", "Check the store. The node tries again; a withdrawal is in effect already, a completion is not.")
 
-	eventClientLimits = events.Define(2590, hclog.Warn, "clients met the limits on memory or connections", "Find out who sends unfinished requests. Bodies without progress give way, further ones are refused; ordinary clients that meet the limits need more memory-mb or max-descriptors.")
+	eventClientLimits = events.Define(2590, hclog.Warn, "clients met the limits on memory or connections", "Find out who sends unfinished requests or reads no responses. Bodies and connections without progress give way, further ones are refused; ordinary clients that meet the limits need more memory-mb or max-descriptors.")
 
 	eventCallFinished  = events.Define(2530, hclog.Info, "call finished", "None.")
 	eventCallFailed    = events.Define(2531, hclog.Warn, "call failed", "The reason, the host of the last attempt and the gate's log line with the same ID lead to the cause; see docs/OPERATIONS.md.")
--- a/ingress/exchange.go
+++ b/ingress/exchange.go
@@ -34,6 +34,8 @@
 	workspace *routeplan.Workspace
 	// streamed is the request body if it is forwarded while it arrives, else nil.
 	streamed *streamedBody
+	// isStreamed is set if the response is streamed.
+	isStreamed bool
 	// held is the memory of the request body, nil before the body is read.
 	held *heldmemory.Holder
 	// head and room are the parts of the memory of the connection for the head and for the
@@ -110,8 +112,8 @@
 	case c.state == stateIdle:
 		c.setIdleDeadline()
 	}
-	if c.streaming == x {
-		c.streaming = nil
+	if x.isStreamed {
+		c.streaming--
 	}
 	close(x.done)
 }
@@ -130,18 +132,19 @@
 	x.c.lastForwarded = x.number
 }
 
-// setStreaming records that the response of x is streamed until x has finished.
-func (c *connection) setStreaming(x *exchange) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.streaming = x
+// setStreaming records that the response is streamed until the exchange has finished.
+func (x *exchange) setStreaming() {
+	x.c.mu.Lock()
+	defer x.c.mu.Unlock()
+	x.isStreamed = true
+	x.c.streaming++
 }
 
 // isStreaming reports whether a response is being streamed, or will be.
 func (c *connection) isStreaming() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.streaming != nil
+	return c.streaming > 0
 }
 
 // fail ends the responses of the connection after an incomplete one, so that the client
@@ -338,7 +341,7 @@
 	case call.Answered:
 		x.holdResponse(r.Response)
 		if r.Response.Stream != nil {
-			x.c.setStreaming(x)
+			x.setStreaming()
 		}
 		x.writeResponse(r.Response)
 	case call.Rejected:
--- a/ingress/held.go
+++ b/ingress/held.go
@@ -61,6 +61,7 @@
 // holdHead takes memory for the next request head, which has arrived. Where there is none, it
 // first waits for the responses that hold memory of the same connection.
 func (c *connection) holdHead(bytes int64) bool {
+	c.lacksMemory = false
 	if c.held.TryGrow(bytes) {
 		return true
 	}
--- a/ingress/held_test.go
+++ b/ingress/held_test.go
@@ -148,3 +148,27 @@
 		So(status, ShouldEqual, http.StatusOK)
 	})
 }
+
+// Guards against a connection on which all requests are refused because memory was short once.
+func TestMemoryThatWasShortOnce(t *testing.T) {
+	inBubble(t, "a request without a route, while others hold all memory, and one after that", func() {
+		const limit = 128 << 10
+		ts := newLimitedServer(func(http.ResponseWriter, *http.Request) {}, limit)
+		defer ts.close()
+		ts.plan.Activate(testPlan(1))
+		others := ts.memory.NewHolder(nil)
+		others.Take(limit)
+		c, r := ts.dial()
+		defer func() { _ = c.Close() }()
+		for _, expected := range []struct {
+			path   string
+			status int
+		}{{"/unknown/1", http.StatusNotFound}, {"/read/1", http.StatusOK}} {
+			_, err := io.WriteString(c, get("1", expected.path))
+			So(err, ShouldBeNil)
+			status, _, _ := readResponse(r)
+			So(status, ShouldEqual, expected.status)
+			others.Close()
+		}
+	})
+}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -257,8 +257,8 @@
 	// requests counts the requests, lastForwarded is the number of the latest one without a
 	// body that was forwarded.
 	requests, lastForwarded int
-	// streaming is the latest exchange whose response is streamed, nil for none.
-	streaming *exchange
+	// streaming is the number of requests whose response is streamed.
+	streaming int
 	// lastDone is closed when the latest request has its response.
 	lastDone chan struct{}
 }
