node: operators have an account of their own

Seen: by calculation, in a read-through. A proposal of the longest length, 32 MiB, takes twice that while it is read. Long bodies may take 48 MiB of the account of 64 MiB, so that geraniumnotchd closed the connection of any proposal of over 24 MiB, also in calm, since its heads and bodies count.

Change: the operator API has an account of 96 MiB, of which long bodies may take 72. Callers cannot keep operators out either.

--- a/node/clientlimits.go
+++ b/node/clientlimits.go
@@ -3,6 +3,8 @@
 import (
 	"golang.org/x/sys/unix"
 
+	"geraniumnotch.example/geraniumnotch/heldmemory"
+	"geraniumnotch.example/geraniumnotch/operator"
 	"geraniumnotch.example/geraniumnotch/settings"
 )
 
@@ -38,6 +40,19 @@
 	return connections
 }
 
+// operatorMemoryBytes is what the requests of operators may hold: the longest one takes twice
+// its length while it is read, and long ones may take three quarters of an account.
+const operatorMemoryBytes = 3 * operator.MaxBodyBytes
+
+// memoryOf returns the account of a server. Operators have one of their own, so that callers
+// cannot keep them out, and a long proposal needs no memory of callers.
+func (p *components) memoryOf(server string) *heldmemory.Account {
+	if server == serverOperator {
+		return p.operatorMemory
+	}
+	return p.clientMemory
+}
+
 // descriptors returns the number of files that the process may open.
 func descriptors() uint64 {
 	var limit unix.Rlimit
--- a/node/clientlimits_test.go
+++ b/node/clientlimits_test.go
@@ -6,6 +6,9 @@
 	"github.com/samber/lo"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"geraniumnotch.example/geraniumnotch/boottime"
+	"geraniumnotch.example/geraniumnotch/heldmemory"
+	"geraniumnotch.example/geraniumnotch/operator"
 	"geraniumnotch.example/geraniumnotch/settings"
 )
 
@@ -26,3 +29,11 @@
 		So(maxConnections(settings.Limits{Connections: 2000}, 1<<20)[serverEntry], ShouldEqual, 2000)
 	})
 }
+
+// Guards against a proposal of the longest length that is refused in calm.
+func TestLongestProposalFits(t *testing.T) {
+	Convey("the account of operators has room for it", t, func() {
+		account := heldmemory.NewAccount(operatorMemoryBytes, boottime.Now)
+		So(account.NewHolder(nil).TryGrow(heldmemory.HeadBytes(operator.MaxBodyBytes+(64<<10), 100)), ShouldBeTrue)
+	})
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -68,10 +68,10 @@
 		return errors.Wrap(err, "node: create the metrics of clients")
 	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
-		memory := p.clientMemory.Usage()
-		o.ObserveInt64(bytes, memory.Used)
-		o.ObserveInt64(gaveWay, memory.GaveWay)
-		o.ObserveInt64(refused, memory.Refused)
+		memory, operators := p.clientMemory.Usage(), p.operatorMemory.Usage()
+		o.ObserveInt64(bytes, memory.Used+operators.Used)
+		o.ObserveInt64(gaveWay, memory.GaveWay+operators.GaveWay)
+		o.ObserveInt64(refused, memory.Refused+operators.Refused)
 		for name, limiter := range p.limiters {
 			usage, server := limiter.Usage(), metric.WithAttributes(attribute.String("server", name))
 			o.ObserveInt64(open, int64(usage.Open), server)
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/samber/do/v2"
 
 	"geraniumnotch.example/geraniumnotch/admission"
+	"geraniumnotch.example/geraniumnotch/boottime"
 	"geraniumnotch.example/geraniumnotch/connlimit"
 	"geraniumnotch.example/geraniumnotch/distribution"
 	"geraniumnotch.example/geraniumnotch/endpoints"
@@ -98,6 +99,8 @@
 	// connections the number of connections of each server by its name.
 	clientMemory *heldmemory.Account
 	connections  map[string]int
+	// operatorMemory is what operators may hold.
+	operatorMemory *heldmemory.Account
 	// limiters are those of the servers by their names.
 	limiters map[string]*connlimit.Limiter
 	gate     *proxy.Gate
@@ -151,6 +154,7 @@
 		return nil, err
 	}
 	p := &components{settings: s, options: options, logger: options.Logger, metrics: registry, limiters: map[string]*connlimit.Limiter{}, stopRequested: make(chan struct{})}
+	p.operatorMemory = heldmemory.NewAccount(operatorMemoryBytes, boottime.Now)
 	p.clientMemory, p.connections = proxy.NewClientMemory(), maxConnections(s.Limits, descriptors())
 	p.requestStop = sync.OnceFunc(func() { close(p.stopRequested) })
 	if err := p.listeners.open(s.Listen); err != nil {
--- a/node/server.go
+++ b/node/server.go
@@ -26,7 +26,7 @@
 func newServer(p *components, name string, listener net.Listener, handler http.Handler) *server {
 	s := &server{components: p, name: name, http: proxy.NewServer(handler, p.logger.Named(name))}
 	s.http.ConnState = s.trackUnused
-	config := connlimit.Config{Connections: p.connections[name], Memory: p.clientMemory}
+	config := connlimit.Config{Connections: p.connections[name], Memory: p.memoryOf(name)}
 	if name == serverEntry || name == serverCall {
 		config.RequestBytes = proxy.CallBytes
 	} else {
--- a/operator/client.go
+++ b/operator/client.go
@@ -28,7 +28,7 @@
 )
 
 // maxResponseBytes limits how much of a response body the client reads.
-const maxResponseBytes = 4 * maxBodyBytes
+const maxResponseBytes = 4 * MaxBodyBytes
 
 // Client calls the API of one node. It is safe for concurrent use.
 type Client struct {
--- a/operator/server.go
+++ b/operator/server.go
@@ -17,8 +17,8 @@
 const (
 	// apiVersion is the version of the API in its OpenAPI document.
 	apiVersion = "1.0.0"
-	// maxBodyBytes limits a request with whole lists or many edits.
-	maxBodyBytes = 2 * lists.MaxTextBytes
+	// MaxBodyBytes limits a request with whole lists or many edits.
+	MaxBodyBytes = 2 * lists.MaxTextBytes
 	// bodyReadTimeout limits the time for reading such a request.
 	bodyReadTimeout = 30 * time.Second
 	// maxPageRecords is the largest number of records in one response.
@@ -85,7 +85,7 @@
 func post(id, path, summary string) huma.Operation {
 	return huma.Operation{
 		OperationID: id, Method: http.MethodPost, Path: path, Summary: summary, DefaultStatus: http.StatusOK,
-		MaxBodyBytes: maxBodyBytes, BodyReadTimeout: bodyReadTimeout,
+		MaxBodyBytes: MaxBodyBytes, BodyReadTimeout: bodyReadTimeout,
 		Errors: []int{http.StatusConflict, http.StatusUnprocessableEntity, http.StatusGatewayTimeout},
 	}
 }
