node: 20 connections for calls from each of 200 nodes

Cause: read-through. The listener for calls had the limit of 1,024 of the listeners that neither callers nor calls use: five connections from each node at the design scale of 200. A node keeps up to 100 idle ones, and one that is closed while a call is sent on it fails that call.

Change: 4,096, or a quarter of the files that the process may open. Measured: unit test.

--- a/node/clientlimits.go
+++ b/node/clientlimits.go
@@ -23,17 +23,25 @@
 	serverEntry: 0.25, serverCall: 0.25, serverPeer: 0.1, serverOperator: 0.04, serverEndpoints: 0.04,
 }
 
-// maxOtherConnections is the largest number of connections of a server that callers do not
-// use. Each takes about 20 KB.
-const maxOtherConnections = 1024
+const (
+	// maxCallConnections is the largest number of connections of other nodes for calls: 20
+	// from each of 200.
+	maxCallConnections = 4096
+	// maxOtherConnections is the largest number of connections of a server that neither
+	// callers nor calls use.
+	maxOtherConnections = 1024
+)
 
 // maxConnections returns the number of connections that each server may have.
 func maxConnections(limits settings.Limits, descriptors uint64) map[string]int {
 	connections := map[string]int{}
 	for name, fraction := range descriptorFractions {
 		most := maxOtherConnections
-		if name == serverEntry {
+		switch name {
+		case serverEntry:
 			most = limits.Connections
+		case serverCall:
+			most = maxCallConnections
 		}
 		connections[name] = int(min(float64(most), fraction*float64(descriptors)))
 	}
--- a/node/clientlimits_test.go
+++ b/node/clientlimits_test.go
@@ -25,7 +25,8 @@
 	Convey("the settings limit those of callers only", t, func() {
 		connections := maxConnections(limits, 1<<20)
 		So(connections[serverEntry], ShouldEqual, 1024)
-		So(connections[serverCall], ShouldEqual, maxOtherConnections)
+		So(connections[serverCall], ShouldEqual, maxCallConnections)
+		So(connections[serverPeer], ShouldEqual, maxOtherConnections)
 		So(maxConnections(settings.Limits{Connections: 2000}, 1<<20)[serverEntry], ShouldEqual, 2000)
 	})
 }
