hostnode: announcements do not prove that an endpoint has not left

An endpoint deregisters while the store is unavailable, all processes are killed and start again, and an announcement that it sent before arrives late: from the return of the store on it gets about half of the calls of its service.

Cause: a new process took the first answer of the store or of any other host, or 2 s without one, for knowledge of what its predecessor had acknowledged. Neither is: the store may have been unavailable then, the other host may have started since. The log shows event 2520 with verdict "began" for the late announcement, 5 s before the store was back.

Change: an endpoint that started before the process of its node is registered only once it is confirmed that it had not left: by another host that had it in the latest report of the previous process, by its own health path (200 with its ID; the platform states 503 for one that leaves), after announcing itself for 5 s without a long pause, or 30 s after the start. One that started after the process is registered at once. A single check in the registration replaces the deferral of all announcements for up to 2 s. Events 2528 and 2529.

Changed tests: TestEndpointIsRegisteredWithoutTheStoreAndOtherHosts asked that a single announcement registers an endpoint after 2 s, which is the fault. It now asks that one does not, and that an endpoint that goes on announcing itself is registered within 6 s, while no call can be served anyway. TestDeparturesBeforeTheStartOfTheProcess follows the new calls of the registration, with the same cases and further ones. The stand-in endpoints answer their health path.

--- a/call/headers.go
+++ b/call/headers.go
@@ -10,6 +10,8 @@
 // ResponseInfo holds what the headers of an endpoint's response say.
 type ResponseInfo struct {
 	RequestID string
+	// EndpointID is the endpoint that responds, empty when it does not say.
+	EndpointID mesh.EndpointID
 	// NotExecuted is set when the endpoint states that it did not execute the request.
 	NotExecuted bool
 	// Stamped is set when the response has the signature of an endpoint.
--- a/departures/departures.go
+++ b/departures/departures.go
@@ -24,6 +24,14 @@
 	StartedAtMs int64
 }
 
+// Incarnation identifies a start of an endpoint.
+type Incarnation struct {
+	_  struct{} `cbor:",toarray"`
+	ID mesh.EndpointID
+	// StartedAtMs is the time of day at which it started.
+	StartedAtMs int64
+}
+
 // List holds departures, the latest last. Its methods return new lists and change none.
 type List []Departure
 
--- a/hostnode/control.go
+++ b/hostnode/control.go
@@ -40,7 +40,9 @@
 		http.Error(w, "malformed announcement", http.StatusBadRequest)
 		return
 	}
-	n.announce(a)
+	if n.announce(a) == localendpoint.Deferred {
+		n.signalHealthCheck()
+	}
 	if a.Draining {
 		n.saveDepartures(r.Context())
 	}
@@ -49,7 +51,7 @@
 }
 
 // announce applies an announcement.
-func (n *Node) announce(a localendpoint.Announcement) {
+func (n *Node) announce(a localendpoint.Announcement) localendpoint.AnnounceResult {
 	result := n.registration.Announce(a)
 	if result == localendpoint.Mismatched {
 		// The settings file may have changed without a signal.
@@ -63,6 +65,7 @@
 	default:
 		eventAnnouncement.Log(n.logger, "endpoint", a.ID, "service", a.Service, "verdict", result, "started_at_ms", a.StartedAtMs, "sequence", a.Sequence, "slots", a.Slots, "leaving", a.Draining)
 	}
+	return result
 }
 
 func (n *Node) onDeregister(w http.ResponseWriter, r *http.Request) {
--- a/hostnode/departures.go
+++ b/hostnode/departures.go
@@ -167,22 +167,11 @@
 }
 
 // learnDepartures records endpoints that have left as the store or another host knows it.
-// It then applies the deferred announcements, also when the source knows of no departure:
-// the store may be unavailable for long, and a departure that is learned later still takes
-// effect.
 func (n *Node) learnDepartures(known departures.List, source string) {
 	if added := n.registration.RecordDepartures(known); len(added) > 0 {
 		n.registrar.departures.recordLearned(added)
 		eventDeparturesLearned.Log(n.logger, "endpoints", endpointIDs(added), "source", source)
 	}
-	n.applyDeferred()
-}
-
-// applyDeferred applies the announcements that came before the departures were known.
-func (n *Node) applyDeferred() {
-	for _, a := range n.registration.TakeDeferred() {
-		n.announce(a)
-	}
 }
 
 func endpointIDs(l departures.List) []mesh.EndpointID {
--- a/hostnode/departures_test.go
+++ b/hostnode/departures_test.go
@@ -21,13 +21,17 @@
 
 // announceOf sends a heartbeat of the endpoint beside the host that started at another time.
 func (h *fixtureHost) announceOf(startedAtMs int64, service, state string) int {
-	h.sequence++
-	path, body := standin.HeartbeatOf("i-"+h.name, startedAtMs, h.address["endpoint"], service, "d", state, h.sequence)
+	sequence := int(h.sequence.Add(1))
+	if startedAtMs > standin.EndpointStart {
+		h.hasLeft.Store(false) // A later incarnation is at the address.
+	}
+	path, body := standin.HeartbeatOf("i-"+h.name, startedAtMs, h.address["endpoint"], service, "d", state, sequence)
 	return post(h.fixture.client, "http://"+h.address["announcements"]+path, body)
 }
 
 // deregister sends the request with which the endpoint beside the host leaves.
 func (h *fixtureHost) deregister() int {
+	h.hasLeft.Store(true)
 	path, body := standin.Deregistration("i-"+h.name, standin.EndpointStart)
 	return post(h.fixture.client, "http://"+h.address["announcements"]+path, body)
 }
@@ -168,17 +172,18 @@
 	return items
 }
 
-// Guards against an endpoint that waits for the departures of an earlier process longer
-// than clients wait for a host that cannot read the store.
+// Guards against an endpoint that is never registered at a host that knows neither the store
+// nor another host, and against one that a single announcement registers there.
 func TestEndpointIsRegisteredWithoutTheStoreAndOtherHosts(t *testing.T) {
 	inBubble(t, "the store is unavailable since the start", func(t *testing.T) {
 		f := newBubbleFixture(t)
 		defer f.close()
 		f.store.SetFault(func(string) standin.Fault { return standin.Unavailable })
 		a := f.addHost("host-a", "one")
-		So(a.announce("one", "ready"), ShouldEqual, 200)
-		So(a.node.registration.Current(), ShouldBeNil)
+		defer a.keepAnnouncing(standin.EndpointStart)()
 		time.Sleep(maxPeerWait + time.Millisecond)
+		So(a.node.registration.Current(), ShouldBeNil)
+		time.Sleep(4*heartbeatInterval - maxPeerWait)
 		So(a.node.registration.Current(), ShouldNotBeNil)
 	})
 }
--- a/hostnode/events.go
+++ b/hostnode/events.go
@@ -35,7 +35,10 @@
 	eventEndpointLeaving      = events.Define(2525, hclog.Info, "endpoint states in a response that it leaves", "None; it gets no further calls.")
 
 	eventDeparturesLearned = events.Define(2526, hclog.Info, "departures of endpoints learned", "None; an earlier process of the host acknowledged them. Late announcements of these endpoints are ignored.")
-	eventDepartureNotSaved = events.Define(2527, hclog.Warn, "departure acknowledged before the store has it", "Check the store. The node writes it again; until then only other hosts tell it to the next process of this host.")
+	eventDepartureNotSaved = events.Define(2527, hclog.Warn, "departure acknowledged before the store has it", "Check the store. The node writes it again; until then only other hosts tell it to the next process of this host, which defers announcements that may be late (2529).")
+
+	eventEndpointConfirmed   = events.Define(2528, hclog.Info, "endpoint had not left before the start of the node", "None; its announcements are applied from now on. The source says what shows that it had not left.")
+	eventEndpointUnconfirmed = events.Define(2529, hclog.Info, "endpoint not confirmed by a health check", "None; an earlier process of the host may have acknowledged that it leaves. It is registered when a later check succeeds, or after announcing itself for some seconds.")
 
 	eventRolloutChanged    = events.Define(2570, hclog.Info, "roll-out of a version changed", "None; the phase and the share say which calls may go to the target version.")
 	eventRolloutWithdrawn  = events.Define(2571, hclog.Warn, "version withdrawn", "None; no call goes to the target version. Event 2572 of the deciding host says why.")
--- a/hostnode/hostnode_test.go
+++ b/hostnode/hostnode_test.go
@@ -59,8 +59,9 @@
 	endpoint *http.Server
 
 	mu         sync.Mutex
-	sequence   int
 	executions map[string]int
+	// sequence is that of the latest announcement.
+	sequence atomic.Int64
 	// longHead makes the endpoint send responses with a head longer than a frame of a
 	// link.
 	longHead atomic.Bool
@@ -74,6 +75,10 @@
 	respond atomic.Pointer[http.HandlerFunc]
 	// isLeaving makes the endpoint state in its responses that it leaves.
 	isLeaving atomic.Bool
+	// hasLeft is set when the endpoint has announced that it leaves.
+	hasLeft atomic.Bool
+	// hasNoHealthPath makes the endpoint answer 404 to health checks.
+	hasNoHealthPath atomic.Bool
 	// version is the software version of the endpoint, empty for v1.
 	version string
 	// arrivals are the times at which calls reached the endpoint.
@@ -147,7 +152,7 @@
 	if err != nil {
 		panic(err)
 	}
-	h.endpoint = &http.Server{Handler: standin.EndpointHandler(func(w http.ResponseWriter, r *http.Request, id, caller string) {
+	calls := standin.EndpointHandler(func(w http.ResponseWriter, r *http.Request, id, caller string) {
 		h.mu.Lock()
 		h.executions[id]++
 		h.arrivals = append(h.arrivals, time.Now())
@@ -170,6 +175,16 @@
 			w.Header().Set("Long", strings.Repeat("x", transport.MaxFrameBytes))
 		}
 		_, _ = io.WriteString(w, name+" "+caller) // The client checks the body.
+	})
+	h.endpoint = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != standin.HealthPath:
+			calls.ServeHTTP(w, r)
+		case h.hasNoHealthPath.Load():
+			http.NotFound(w, r)
+		default:
+			standin.AnswerHealth(w, "i-"+name, h.hasLeft.Load())
+		}
 	})}
 	go func() { _ = h.endpoint.Serve(l) }() // Ends in close.
 	h.writeSettings(service)
@@ -252,9 +267,12 @@
 
 // announce sends a heartbeat of the endpoint beside the host.
 func (h *fixtureHost) announce(service, state string) int {
-	h.sequence++
+	sequence := int(h.sequence.Add(1))
+	if state == "draining" {
+		h.hasLeft.Store(true)
+	}
 	version := cmp.Or(h.version, "v1")
-	path, body := standin.HeartbeatOfVersion("i-"+h.name, standin.EndpointStart, h.address["endpoint"], service, version, "d", state, h.sequence)
+	path, body := standin.HeartbeatOfVersion("i-"+h.name, standin.EndpointStart, h.address["endpoint"], service, version, "d", state, sequence)
 	return post(h.fixture.client, "http://"+h.address["announcements"]+path, body)
 }
 
--- a/hostnode/node.go
+++ b/hostnode/node.go
@@ -79,6 +79,7 @@
 	planKeeper   *planKeeper
 	registrar    *registrar
 	registration *localendpoint.Registration
+	gate         *localendpoint.Gate
 	directory    *peers.Directory
 	hostLink     *hostlink.Link
 	forwarder    *ingress.Forwarder
@@ -90,10 +91,12 @@
 	// rollouts is nil where no versions are rolled out.
 	rollouts *rolloutKeeper
 
-	stopping      atomic.Bool
-	hostsListedAt atomic.Int64
-	reloadMu      sync.Mutex
-	listeners     []net.Listener
+	stopping atomic.Bool
+	// healthCheckDue signals that there may be an endpoint to confirm.
+	healthCheckDue chan struct{}
+	hostsListedAt  atomic.Int64
+	reloadMu       sync.Mutex
+	listeners      []net.Listener
 	// calls is the listener for clients and the endpoint of the host. callsEnded is
 	// closed when no further connection of it is accepted.
 	calls      net.Listener
@@ -133,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{path: path, logger: logger, system: sys, metrics: registry, started: time.Now(), store: store, linksClosed: make(chan struct{})}
+	n := &Node{path: path, logger: logger, system: sys, metrics: registry, started: time.Now(), store: store, linksClosed: make(chan struct{}), healthCheckDue: make(chan struct{}, 1)}
 	n.settings.Store(s)
 	n.planKeeper = &planKeeper{
 		clock: clock, store: n.store, current: &n.plan, logger: logger, tracker: plansync.New(fmt.Sprint(s.Host, "/", n.started.UnixNano()), s.PlanDeadline),
@@ -150,9 +153,9 @@
 	}
 	n.registration = localendpoint.NewRegistration(s.Endpoint, clock, n.endpointChanged)
 	n.registration.Dial = localendpoint.DialFunc(sys.dial)
-	n.registration.AwaitDepartures()
+	n.registration.RequireConfirmation(n.started)
 	buffers := call.NewBuffers(int64(s.ResponseBufferMB) << 20)
-	gate := localendpoint.NewGate(n.registration, platform.Headers{}, clock, observer, buffers)
+	n.gate = localendpoint.NewGate(n.registration, platform.Headers{}, clock, observer, buffers)
 	n.hostLink = hostlink.New(hostlink.Config{Mbps: s.LinkMbps, Clock: clock, Logger: logger, OnWait: observer.waitedForLink})
 	if err := observeHostLink(registry.Meter(), n.hostLink); err != nil {
 		return nil, err
@@ -165,7 +168,7 @@
 		maps.Copy(handlers, n.quotas.Handlers())
 	}
 	directoryConfig := peers.Config{
-		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: gate, BodyMemory: n.bodyMemory, HostLink: n.hostLink,
+		Self: record, Logger: logger, Clock: clock, Dial: transport.DialFunc(sys.dial), Local: n.gate, BodyMemory: n.bodyMemory, HostLink: n.hostLink,
 		Handlers:    handlers,
 		LocalStatus: n.statusReport, PlanDelta: n.planKeeper.deltaFrom, OnPlan: n.planKeeper.activateDelta,
 		OnPlanReport: n.planKeeper.recordReport,
@@ -173,6 +176,7 @@
 			n.registration.ExpectRate(localendpoint.ExpectedRate{ID: e.ID, CallsPerSecond: e.CallsPerSecond})
 		},
 		OnReceiverDeparted: func(known departures.List, from mesh.HostID) { n.learnDepartures(known, string(from)) },
+		OnReceiverEndpoint: func(e departures.Incarnation, from mesh.HostID) { n.confirm(e, string(from)) },
 	}
 	if n.quotas != nil {
 		if err := observeQuotas(registry.Meter(), n.quotas.Stats); err != nil {
@@ -182,7 +186,7 @@
 	if s.Rollout != nil {
 		n.rollouts = newRolloutKeeper(n, *s.Rollout, s.PlanDeadline)
 		n.planKeeper.rollouts = n.rollouts
-		gate.OnResult = n.rollouts.observe
+		n.gate.OnResult = n.rollouts.observe
 		handlers[transport.KindRolloutState] = n.rollouts.handle
 		directoryConfig.LocalRollouts, directoryConfig.OnRollouts = n.rollouts.introduction, n.rollouts.record
 		if err := n.rollouts.register(registry.Meter()); err != nil {
@@ -193,7 +197,7 @@
 	if err := observeLinks(registry.Meter(), n.directory.LocalTraffic, n.directory.RemoteTraffic); err != nil {
 		return nil, err
 	}
-	if err := observeShares(registry.Meter(), n.registration, gate.NestedAdmission, clock); err != nil {
+	if err := observeShares(registry.Meter(), n.registration, n.gate.NestedAdmission, clock); err != nil {
 		return nil, err
 	}
 	n.registrar = &registrar{
@@ -202,7 +206,7 @@
 		storeRecovered: make(chan struct{}, 1), hostCount: n.directory.HostCount, hostsAhead: n.directory.HostsAhead, writesPerSecond: s.StoreWritesPerSecond, monitor: storeMonitor{logger: logger, use: "hosts"},
 	}
 	n.forwarder = &ingress.Forwarder{
-		Domain: s.FailureDomain, Headers: platform.Headers{}, Peers: n.directory, LocalGate: gate, Registration: n.registration, Clock: clock,
+		Domain: s.FailureDomain, Headers: platform.Headers{}, Peers: n.directory, LocalGate: n.gate, Registration: n.registration, Clock: clock,
 		RetryBudget: retrybudget.New(s.RetryBudget, clock, n.directory.HostCount),
 		Sizes:       responsesize.New(), Buffers: buffers, RemoteByteCost: s.RemoteCostPerKB / 1024,
 		HostLink: n.hostLink, Domains: placement.NewDomains(), OnPlaced: observer.placed, OnHedge: observer.hedged,
@@ -214,7 +218,7 @@
 	config := ingress.Config{
 		Plan: &n.plan, Headers: platform.Headers{}, Keys: platform.Headers{}, NewerPlanKnown: n.planKeeper.tracker.IsNewerKnown, Clock: clock, Observer: observer, Forwarder: n.forwarder,
 		LocalService: func() mesh.ServiceName { return n.settings.Load().Endpoint.Service },
-		RunningCalls: gate.RunningCalls,
+		RunningCalls: n.gate.RunningCalls,
 		Memory:       n.bodyMemory, MaxConnections: s.maxConnections(),
 	}
 	if n.quotas != nil {
@@ -231,6 +235,7 @@
 	if n.quotas != nil {
 		n.quotas.SetPlan(p)
 	}
+	n.signalHealthCheck()
 }
 
 // endpointChanged reports the endpoint of this host to its peers. The endpoint is nil
@@ -345,8 +350,8 @@
 		defer close(n.linksClosed)
 		n.directory.Run(ctx)
 	}()
-	time.AfterFunc(maxPeerWait, n.applyDeferred)
 	go boottime.WatchSuspensions(ctx, n.clock, n.onSuspended)
+	go n.runHealthChecks(ctx)
 	go n.watchSettings(ctx)
 	go n.watchClientLimits(ctx, n.bodyMemory.Usage, n.ingress.ConnectionUsage)
 	eventStarted.Log(n.logger, "host", s.Host, "failure_domain", s.FailureDomain, "service", s.Endpoint.Service, "endpoint_address", s.Endpoint.Address)
--- a/hostnode/rollout_test.go
+++ b/hostnode/rollout_test.go
@@ -200,7 +200,7 @@
 		f.store.Write(platform.ConfigKey, standin.Config(4, "one"))
 		h := f.addHost("host-a", "one")
 		h.announce("one", "ready")
-		waitFor(func() bool { return f.allHave(4) && h.node.ready() })
+		waitFor(func() bool { return f.allHave(4) && h.node.ready() && h.node.registration.Current() != nil })
 		So(h.node.planKeeper.rollouts.orderKeys(h.node.plan.Load()), ShouldBeEmpty)
 		So(h.node.statusReport().Endpoint.Software, ShouldBeEmpty)
 		text, err := os.ReadFile(h.path())
--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -59,8 +59,8 @@
 	Stale AnnounceResult = "stale"
 	// Mismatched means that the announcement does not match the configured identity.
 	Mismatched AnnounceResult = "foreign"
-	// Deferred means that the announcement is applied once the departures of an earlier
-	// process are known.
+	// Deferred means that the announcement is applied once it is confirmed that its endpoint
+	// had not left when this process started.
 	Deferred AnnounceResult = "deferred"
 )
 
@@ -92,10 +92,9 @@
 	// departed are the latest endpoints that have left, whether or not they are or were
 	// current.
 	departed departures.List
-	// awaitsDepartures is set while it is not known which endpoints have left before this
-	// process started. Announcements are then kept in deferred.
-	awaitsDepartures bool
-	deferred         []Announcement
+	// confirmations is nil if no earlier process of the host can have acknowledged that an
+	// endpoint leaves.
+	confirmations *confirmations
 	// expected is the rate that an endpoint named before this process started.
 	expected ExpectedRate
 	onChange func(*Endpoint)
@@ -107,13 +106,9 @@
 	CallsPerSecond float64
 }
 
-// maxDeparted bounds the departures that are kept, and maxDeferred the announcements.
-// Announcements are a few seconds late at most, in which an address changes hands only a
-// few times.
-const (
-	maxDeparted = 64
-	maxDeferred = 64
-)
+// maxDeparted bounds the departures that are kept. Announcements are seconds late at most,
+// in which an address changes hands only a few times.
+const maxDeparted = 64
 
 // maxStartAhead is how far the start of an endpoint may lie in the future, because times of
 // day jump by seconds. An endpoint with a later one would make every real one look older.
@@ -168,6 +163,13 @@
 	return a.Service == i.Service && a.Address == i.Address && a.FailureDomain == i.FailureDomain
 }
 
+// Address returns the address of the configured endpoint.
+func (r *Registration) Address() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.identity.Address
+}
+
 // Current returns the current endpoint, or nil. It returns a draining endpoint too.
 func (r *Registration) Current() *Endpoint {
 	r.mu.Lock()
@@ -179,11 +181,6 @@
 // Announce has returned.
 func (r *Registration) Announce(a Announcement) AnnounceResult {
 	r.mu.Lock()
-	if r.awaitsDepartures && r.isValid(a) {
-		r.deferAnnouncement(a)
-		r.mu.Unlock()
-		return Deferred
-	}
 	result, old := r.apply(a)
 	current := r.current
 	r.mu.Unlock()
@@ -201,31 +198,37 @@
 	return result
 }
 
-// AwaitDepartures defers announcements until TakeDeferred. An endpoint may have left
-// before this process started, and its earlier announcements may be late.
-func (r *Registration) AwaitDepartures() {
+// RequireConfirmation defers the announcements of endpoints that started before this
+// process did, at the time of day startedAt, until it is confirmed that they had not left
+// by then. It must be called before the first announcement.
+func (r *Registration) RequireConfirmation(startedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.awaitsDepartures = true
+	r.confirmations = &confirmations{startedAt: r.clock(), startedAtMs: startedAt.UnixMilli()}
 }
 
-// TakeDeferred ends the deferral and returns the deferred announcements in the order of
-// their arrival. The caller announces them again.
-func (r *Registration) TakeDeferred() []Announcement {
+// Confirm records that an endpoint had not left when this process started. It returns the
+// deferred announcement that the caller announces again, if there is one.
+func (r *Registration) Confirm(i departures.Incarnation) (Announcement, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	taken := r.deferred
-	r.awaitsDepartures, r.deferred = false, nil
-	return taken
+	if r.confirmations == nil {
+		return Announcement{}, false
+	}
+	return r.confirmations.confirm(i)
 }
 
-// deferAnnouncement keeps an announcement. One that the endpoint drains binds at once.
-func (r *Registration) deferAnnouncement(a Announcement) {
-	if a.Draining {
-		r.recordDeparture(a.ID, a.StartedAtMs)
+// Unconfirmed returns the endpoint that started last of those whose announcements are
+// deferred.
+func (r *Registration) Unconfirmed() (departures.Incarnation, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.confirmations == nil {
+		return departures.Incarnation{}, false
 	}
-	r.deferred = append(r.deferred, a)
-	r.deferred = r.deferred[max(0, len(r.deferred)-maxDeferred):]
+	return r.confirmations.unconfirmed(func(i departures.Incarnation) bool {
+		return r.departed.Covers(i.ID, i.StartedAtMs) || r.current != nil && i.StartedAtMs <= r.current.StartedAtMs
+	})
 }
 
 // Departures returns the latest endpoints that have left.
@@ -289,6 +292,12 @@
 		}
 		return Stale, nil
 	}
+	if r.confirmations != nil && !r.confirmations.observe(a, r.clock(), r.timeOfDay().UnixMilli()) {
+		if a.Draining {
+			r.recordDeparture(a.ID, a.StartedAtMs)
+		}
+		return Deferred, nil
+	}
 	e := r.newEndpoint(a)
 	r.current = e
 	if a.Draining {
--- a/localendpoint/registration_test.go
+++ b/localendpoint/registration_test.go
@@ -202,26 +202,88 @@
 	})
 }
 
-// Guards against an endpoint that is registered before it is known that it left while an
-// earlier process ran, and against one that stays registered when that becomes known.
+// Guards against an endpoint that is registered again although it left while an earlier
+// process ran, against one that stays registered when its departure becomes known, and
+// against one that lives and stays out.
 func TestDeparturesBeforeTheStartOfTheProcess(t *testing.T) {
-	Convey("a registration that awaits departures", t, func() {
-		now, changes := time.Duration(0), 0
+	Convey("a registration of a process that started at 1000 ms", t, func() {
+		now, changes := 10*time.Second, 0
+		const processStart = 1000
+		timeOfDay := time.UnixMilli(processStart)
 		r := localendpoint.NewRegistration(identity, func() time.Duration { return now }, func(*localendpoint.Endpoint) { changes++ })
-		r.TimeOfDay = func() time.Time { return time.UnixMilli(1000) }
-		r.AwaitDepartures()
+		r.TimeOfDay = func() time.Time { return timeOfDay }
+		r.RequireConfirmation(timeOfDay)
+		pass := func(d time.Duration) { now, timeOfDay = now+d, timeOfDay.Add(d) }
 		left := departures.List{{ID: "a", StartedAtMs: 100}}
+		a := departures.Incarnation{ID: "a", StartedAtMs: 100}
 
 		Convey("defers announcements, and an endpoint that has left is not registered", func() {
 			So(r.Announce(announcement("a", 100, 20)), ShouldEqual, localendpoint.Deferred)
 			So(r.Announce(announcement("b", 300, 1)), ShouldEqual, localendpoint.Deferred)
 			So(r.Current(), ShouldBeNil)
+			So(changes, ShouldEqual, 0)
 			So(r.RecordDepartures(left), ShouldResemble, left)
-			deferred := r.TakeDeferred()
-			So(deferred, ShouldResemble, []localendpoint.Announcement{announcement("a", 100, 20), announcement("b", 300, 1)})
-			So(r.Announce(deferred[0]), ShouldEqual, localendpoint.Stale)
-			So(r.Announce(deferred[1]), ShouldEqual, localendpoint.NewIncarnation)
-			So(r.TakeDeferred(), ShouldBeEmpty)
+			So(r.Announce(announcement("a", 100, 21)), ShouldEqual, localendpoint.Stale)
+			_, found := r.Confirm(a)
+			So(found, ShouldBeTrue)
+			So(r.Announce(announcement("a", 100, 22)), ShouldEqual, localendpoint.Stale)
+			Convey("one that is confirmed is", func() {
+				b, found := r.Unconfirmed()
+				So(found, ShouldBeTrue)
+				So(b, ShouldResemble, departures.Incarnation{ID: "b", StartedAtMs: 300})
+				waiting, found := r.Confirm(b)
+				So(found, ShouldBeTrue)
+				So(r.Announce(waiting), ShouldEqual, localendpoint.NewIncarnation)
+				_, found = r.Unconfirmed()
+				So(found, ShouldBeFalse)
+				Convey("also after it was removed", func() {
+					r.Remove(r.Current())
+					So(r.Announce(announcement("b", 300, 2)), ShouldEqual, localendpoint.NewIncarnation)
+				})
+			})
+		})
+		Convey("registers an endpoint that was confirmed before its announcement", func() {
+			_, found := r.Confirm(a)
+			So(found, ShouldBeFalse)
+			So(r.Announce(announcement("a", 100, 20)), ShouldEqual, localendpoint.NewIncarnation)
+		})
+		Convey("does not register one that left after it was confirmed", func() {
+			r.Announce(announcement("a", 100, 20))
+			r.Deregister("a", 100)
+			waiting, found := r.Confirm(a)
+			So(found, ShouldBeTrue)
+			So(r.Announce(waiting), ShouldEqual, localendpoint.Stale)
+		})
+		Convey("registers one that started after the process", func() {
+			pass(time.Second)
+			So(r.Announce(announcement("b", processStart+1000, 1)), ShouldEqual, localendpoint.NewIncarnation)
+		})
+		Convey("defers one with a start that lies ahead: the time of day was set back", func() {
+			So(r.Announce(announcement("b", processStart+1000, 1)), ShouldEqual, localendpoint.Deferred)
+		})
+		Convey("registers one that keeps announcing itself", func() {
+			results := map[localendpoint.AnnounceResult]int{}
+			for i := range uint64(5) {
+				results[r.Announce(announcement("a", 100, 20+i))]++
+				pass(1500 * time.Millisecond)
+			}
+			So(results, ShouldResemble, map[localendpoint.AnnounceResult]int{localendpoint.Deferred: 4, localendpoint.NewIncarnation: 1})
+		})
+		Convey("does not register one whose announcements pause", func() {
+			for i := range uint64(8) {
+				So(r.Announce(announcement("a", 100, 20+i)), ShouldEqual, localendpoint.Deferred)
+				pass(3 * time.Second)
+			}
+		})
+		Convey("does not register one whose announcements are repeated or out of order", func() {
+			for i := range uint64(15) {
+				So(r.Announce(announcement("a", 100, 20-i/2)), ShouldEqual, localendpoint.Deferred)
+				pass(1500 * time.Millisecond)
+			}
+		})
+		Convey("registers one whose announcement arrives later than any that was sent before the start", func() {
+			pass(31 * time.Second)
+			So(r.Announce(announcement("a", 100, 20)), ShouldEqual, localendpoint.NewIncarnation)
 		})
 		Convey("does not defer one of another endpoint", func() {
 			other := announcement("b", 200, 1)
@@ -232,28 +294,34 @@
 			So(r.Announce(draining(announcement("a", 100, 20))), ShouldEqual, localendpoint.Deferred)
 			So(r.Departures(), ShouldResemble, left)
 		})
-		Convey("keeps a bounded number of announcements", func() {
-			for i := range uint64(1000) {
-				r.Announce(announcement("a", 100, i))
+		Convey("keeps a bounded number of announcements, the latest ones", func() {
+			for i := range 1000 {
+				r.Announce(announcement(fmt.Sprint("e", i), 100, 1))
+			}
+			waiting := 0
+			for i := range 1000 {
+				if _, found := r.Confirm(departures.Incarnation{ID: mesh.EndpointID(fmt.Sprint("e", i)), StartedAtMs: 100}); found {
+					waiting++
+					So(i, ShouldBeGreaterThanOrEqualTo, 900)
+				}
 			}
-			deferred := r.TakeDeferred()
-			So(len(deferred), ShouldBeLessThan, 100)
-			So(deferred[len(deferred)-1].Sequence, ShouldEqual, 999)
+			So(waiting, ShouldBeBetween, 0, 100)
 		})
 		Convey("drains the current endpoint when it is known that it has left", func() {
-			r.TakeDeferred()
+			r.Confirm(a)
 			So(r.Announce(announcement("a", 100, 20)), ShouldEqual, localendpoint.NewIncarnation)
 			So(r.RecordDepartures(left), ShouldHaveLength, 1)
 			So(r.Current().Draining, ShouldBeTrue)
 			So(changes, ShouldEqual, 2)
 			So(r.RecordDepartures(left), ShouldBeEmpty)
 			So(changes, ShouldEqual, 2)
+			r.Confirm(departures.Incarnation{ID: "a", StartedAtMs: 101})
 			So(r.Announce(announcement("a", 101, 1)), ShouldEqual, localendpoint.NewIncarnation)
 			So(r.Current().Draining, ShouldBeFalse)
 		})
 		Convey("ignores a departure with a start in the future", func() {
 			So(r.RecordDepartures(departures.List{{ID: "a", StartedAtMs: math.MaxInt64}}), ShouldBeEmpty)
-			r.TakeDeferred()
+			r.Confirm(a)
 			So(r.Announce(announcement("a", 100, 1)), ShouldEqual, localendpoint.NewIncarnation)
 		})
 	})
--- a/peers/directory.go
+++ b/peers/directory.go
@@ -95,6 +95,9 @@
 	// OnReceiverDeparted is called with the first report on each link, and the endpoints of
 	// this host that have left as the peer knows it; nil ignores them.
 	OnReceiverDeparted func(known departures.List, from mesh.HostID)
+	// OnReceiverEndpoint is called with the endpoint of this host that an earlier process of
+	// it has reported last and that has not left as the peer knows it; nil ignores it.
+	OnReceiverEndpoint func(e departures.Incarnation, from mesh.HostID)
 	// LocalRollouts returns what this host knows of the versions of services, nil for
 	// nothing, and OnRollouts is called with what a peer knows; both may be nil.
 	LocalRollouts func() *rollout.Message
@@ -515,6 +518,9 @@
 	if s.Record != nil && d.config.OnReceiverDeparted != nil {
 		d.config.OnReceiverDeparted(s.ReceiverDeparted.Latest(departures.MaxShared), l.Peer())
 	}
+	if s.Record != nil && s.ReceiverEndpoint != nil && d.config.OnReceiverEndpoint != nil {
+		d.config.OnReceiverEndpoint(*s.ReceiverEndpoint, l.Peer())
+	}
 	readAt := d.config.Clock() - max(0, s.PlanReadAge)
 	if s.SentAt != 0 {
 		readAt -= mux.TransitDelay(s.SentAt)
--- a/peers/links.go
+++ b/peers/links.go
@@ -80,11 +80,17 @@
 	d.links[l] = state
 	var limited *LimitedEndpoint
 	var departed departures.List
+	var reported *departures.Incarnation
 	if p := d.peers[l.Peer()]; p != nil {
 		p.stopped = false
 		departed = p.departures()
-		if e := p.lastEndpoint.Load(); e != nil && e.CallsPerSecond > 0 {
-			limited = &LimitedEndpoint{ID: e.ID, CallsPerSecond: e.CallsPerSecond}
+		if e := p.lastEndpoint.Load(); e != nil {
+			if e.CallsPerSecond > 0 {
+				limited = &LimitedEndpoint{ID: e.ID, CallsPerSecond: e.CallsPerSecond}
+			}
+			if !p.IsLeaving(e) {
+				reported = &departures.Incarnation{ID: e.ID, StartedAtMs: e.StartedAtMs}
+			}
 		}
 	}
 	// Calls are sent on the link that both hosts keep. One that replaces a silent link is
@@ -96,7 +102,7 @@
 	d.mu.Unlock()
 	status := d.config.LocalStatus()
 	status.Record, status.LimitedEndpoint, status.Protocol = &d.config.Self, limited, currentProtocol
-	status.ReceiverDeparted = departed
+	status.ReceiverDeparted, status.ReceiverEndpoint = departed, reported
 	if d.config.LocalRollouts != nil {
 		status.Rollouts = d.config.LocalRollouts()
 	}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -53,6 +53,8 @@
 	departed atomic.Pointer[departures.List]
 	// learned are the departures of its own endpoints that peers have told the host.
 	learned chan departures.List
+	// confirmed are its own endpoints that peers have told the host.
+	confirmed chan departures.Incarnation
 }
 
 // testNetwork is the in-memory network of a test. Its tests run in a bubble of
@@ -83,7 +85,7 @@
 	}
 	h := &host{
 		record:       peers.Record{Host: mesh.HostID(name), Address: address, FailureDomain: "d", Incarnation: incarnation, LinkMbps: 8},
-		planVersions: make(chan uint64, 1000), plans: make(chan routeplan.Delta, 10), learned: make(chan departures.List, 100), ended: make(chan struct{}),
+		planVersions: make(chan uint64, 1000), plans: make(chan routeplan.Delta, 10), learned: make(chan departures.List, 100), confirmed: make(chan departures.Incarnation, 100), ended: make(chan struct{}),
 	}
 	h.link = hostlink.New(hostlink.Config{Mbps: n.linkMbps, Clock: now, Logger: hclog.NewNullLogger()})
 	h.link.SetEnabled(n.linkMbps > 0)
@@ -101,6 +103,7 @@
 			return s
 		},
 		OnReceiverDeparted: func(known departures.List, _ mesh.HostID) { h.learned <- known },
+		OnReceiverEndpoint: func(e departures.Incarnation, _ mesh.HostID) { h.confirmed <- e },
 		PlanDelta: func(have uint64) (routeplan.Delta, bool) {
 			d := routeplan.Delta{Base: have, Version: h.version.Load()}
 			if have == 4 {
@@ -452,6 +455,24 @@
 		So(p.IsLeaving(p.Endpoint()), ShouldBeTrue)
 		So(p.IsLeaving(&peers.EndpointStatus{ID: "e", StartedAtMs: 6}), ShouldBeFalse)
 		So(<-restarted.learned, ShouldResemble, append(left, departures.Departure{ID: "f", StartedAtMs: 6}))
+		So(restarted.confirmed, ShouldBeEmpty)
+	})
+	inBubble(t, "a host restarts while its endpoint is in use", func(_ C, n *testNetwork) {
+		a := n.newHost("a", 1, echo)
+		defer a.close()
+		b := n.newHost("b", 1, echo)
+		a.AddRecords(b.record)
+		a.waitForPeers(1)
+		b.waitForPeers(1)
+		So(b.confirmed, ShouldBeEmpty)
+		b.close()
+		waitFor(func() bool { return a.HostCount() == 1 })
+
+		restarted := n.newHost("b", 2, echo)
+		defer restarted.close()
+		a.AddRecords(restarted.record)
+		a.waitForPeers(1)
+		So(<-restarted.confirmed, ShouldResemble, departures.Incarnation{ID: "e"})
 	})
 }
 
--- a/peers/statusdelta.go
+++ b/peers/statusdelta.go
@@ -64,7 +64,7 @@
 // apply returns the status that results from a whole report and the delta.
 func (d *statusDelta) apply(base *Status) Status {
 	s := *base
-	s.Record, s.LimitedEndpoint, s.ReceiverDeparted, s.Rollouts = nil, nil, nil, nil
+	s.Record, s.LimitedEndpoint, s.ReceiverDeparted, s.ReceiverEndpoint, s.Rollouts = nil, nil, nil, nil, nil
 	s.SentAt = boottime.Time(d.SentAtMs) * boottime.Time(time.Millisecond)
 	s.PlanVersion = d.PlanVersion
 	s.PlanRead.Number = d.ReadNumber
--- a/peers/types.go
+++ b/peers/types.go
@@ -131,6 +131,10 @@
 	// sender knows it. It is set only in the first report on a link: the receiver may have
 	// restarted.
 	ReceiverDeparted departures.List `cbor:"12,keyasint,omitempty"`
+	// ReceiverEndpoint is the endpoint that the receiver has reported last, if it has not left
+	// as the sender knows it. It is set only in the first report on a link, as
+	// ReceiverDeparted is.
+	ReceiverEndpoint *departures.Incarnation `cbor:"14,keyasint,omitempty"`
 	// Rollouts is what the sender knows of the versions of services. It is set only in the
 	// first report on a link: a receiver that has restarted knows it before it knows the
 	// endpoint of the sender.
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -109,6 +109,8 @@
 	endpointStart atomic.Int64
 	sequence      atomic.Int64
 	isSilent      atomic.Bool
+	// hasLeft is set from the departure of an endpoint to its successor.
+	hasLeft atomic.Bool
 	// processMu serializes starting, stopping and signalling the process.
 	// stopExpected is set while the test ends the process.
 	processMu    sync.Mutex
@@ -154,7 +156,7 @@
 		h.endpointStart.Store(standin.EndpointStart)
 		h.peerProxy = newProxy(h.addresses["advertised"], h.addresses["peers"])
 		h.storeProxy = newProxy(h.addresses["store"], c.store.Address())
-		h.endpoint = &http.Server{Addr: h.addresses["endpoint"], Handler: standin.EndpointHandler(h.serveCall)}
+		h.endpoint = &http.Server{Addr: h.addresses["endpoint"], Handler: http.HandlerFunc(h.serveEndpoint)}
 		listener, err := net.Listen("tcp", h.endpoint.Addr)
 		if err != nil {
 			panic(err)
@@ -354,6 +356,15 @@
 	<-h.exited
 }
 
+// serveEndpoint serves calls and health checks.
+func (h *host) serveEndpoint(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == standin.HealthPath {
+		standin.AnswerHealth(rw, "i-"+h.name, h.hasLeft.Load())
+		return
+	}
+	standin.EndpointHandler(h.serveCall).ServeHTTP(rw, r)
+}
+
 // announce sends the heartbeat of the endpoint to its host twice a second.
 func (h *host) announce() {
 	for {
