endpoints: announcements from before a withdrawal are rejected

Cause: the registry forgot a process with its withdrawal, and an announcement states no order. One that was sent before and arrives later registered the endpoint again for its time to live, and one of a replaced process replaced its successor.

Without one, a successor at the same address cannot be told apart, so it holds for the time to live, after which nothing that was sent before is valid; Retry-After says how long. Sample endpoints state an instance.

Evidence: TestLateAnnouncements fails without the change (201 for 409).

--- a/emulator/endpoint.go
+++ b/emulator/endpoint.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 
 	"geraniumnotch.example/geraniumnotch/mesh"
 )
@@ -92,7 +93,9 @@
 // Endpoint is a sample worker: an HTTP server with a fixed number of slots that
 // announces itself to the node of its host.
 type Endpoint struct {
-	cfg       EndpointConfig
+	cfg EndpointConfig
+	// instance identifies the process in announcements.
+	instance  string
 	behavior  atomic.Pointer[Behavior]
 	slots     chan struct{}
 	server    *http.Server
@@ -115,6 +118,7 @@
 	}
 	e := &Endpoint{
 		cfg:      cfg,
+		instance: uuid.NewString(),
 		slots:    make(chan struct{}, cfg.Slots),
 		listener: listener,
 		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.Connections}},
@@ -329,6 +333,7 @@
 	Slots       int              `json:"slots"`
 	Connections int              `json:"connections"`
 	ColdStartMs int              `json:"coldStartMs"`
+	Instance    string           `json:"instance"`
 	Load        float64          `json:"load"`
 }
 
@@ -339,7 +344,7 @@
 	}
 	return e.request(ctx, http.MethodPut, "/v1/endpoints/"+string(e.cfg.ID), Announcement{
 		Service: e.cfg.Service, Address: e.Address(), Slots: e.cfg.Slots, Connections: e.cfg.Connections,
-		ColdStartMs: int(e.cfg.ColdStart.Milliseconds()), Load: load,
+		ColdStartMs: int(e.cfg.ColdStart.Milliseconds()), Instance: e.instance, Load: load,
 	})
 }
 
--- a/endpoints/announcement.go
+++ b/endpoints/announcement.go
@@ -50,7 +50,9 @@
 	// TTLMs is how long the announcement is valid without a renewal; zero means
 	// DefaultTTL.
 	TTLMs int `json:"ttlMs,omitempty"`
-	// Instance identifies the endpoint's process; it changes on a restart.
+	// Instance identifies the endpoint's process; it changes on a restart. A process that
+	// has withdrawn does not come back. Without an instance, a successor at the same address
+	// can announce itself when TTLMs has passed.
 	Instance string `json:"instance,omitempty"`
 	// EchoesCall states that every response carries the call ID of its request. A
 	// response without it is then treated as belonging to another call.
--- a/endpoints/api.go
+++ b/endpoints/api.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
 	"net/netip"
+	"strconv"
 
 	"geraniumnotch.example/geraniumnotch/mesh"
 
@@ -122,6 +124,8 @@
 	switch {
 	case errors.Is(err, ErrUnknown):
 		writeProblem(w, http.StatusNotFound, "no such endpoint", err.Error())
+	case errors.Is(err, ErrWithdrawn):
+		writeWithdrawn(w, err)
 	case errors.Is(err, ErrDraining):
 		writeProblem(w, http.StatusServiceUnavailable, "host is draining", err.Error())
 	default:
@@ -129,6 +133,15 @@
 	}
 }
 
+// writeWithdrawn writes the error of an announcement that was sent before its process left.
+func writeWithdrawn(w http.ResponseWriter, err error) {
+	var left *withdrawnError
+	if errors.As(err, &left) && left.retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(left.retryAfter.Seconds()))))
+	}
+	writeProblem(w, http.StatusConflict, "process has withdrawn", err.Error()+"; a new process states another instance")
+}
+
 func writeProblem(w http.ResponseWriter, status int, title, detail string) {
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(status)
--- a/endpoints/endpoints_test.go
+++ b/endpoints/endpoints_test.go
@@ -1,6 +1,7 @@
 package endpoints
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -98,6 +99,79 @@
 	})
 }
 
+// Guards against an endpoint that gets calls again because an announcement that it sent
+// before it left arrives late.
+func TestLateAnnouncements(t *testing.T) {
+	withInstance := func(instance string) string {
+		return strings.Replace(validBody, `"load"`, `"instance":"`+instance+`","load"`, 1)
+	}
+	withdraw := func(f *fixture) {
+		So(f.request(http.MethodDelete, "/v1/endpoints/e1", "", "127.0.0.1:5"), ShouldEqual, http.StatusNoContent)
+	}
+	isRegistered := func(f *fixture) bool { _, known := f.Get("e1"); return known }
+	Convey("Given an endpoint that states its instance", t, func() {
+		f := newFixture()
+		So(f.announce(withInstance("i1")), ShouldEqual, http.StatusCreated)
+		Convey("it has withdrawn: it does not come back, however late its announcement is", func() {
+			withdraw(f)
+			for range 20 {
+				So(f.announce(withInstance("i1")), ShouldEqual, http.StatusConflict)
+				f.now = f.now.Add(time.Second)
+			}
+			So(isRegistered(f), ShouldBeFalse)
+			Convey("another instance at its address is registered at once, and stays", func() {
+				So(f.announce(withInstance("i2")), ShouldEqual, http.StatusCreated)
+				So(f.announce(withInstance("i1")), ShouldEqual, http.StatusConflict)
+				e, _ := f.Get("e1")
+				So(e.Announcement().Instance, ShouldEqual, "i2")
+			})
+		})
+		Convey("it was replaced: it does not replace its successor", func() {
+			So(f.announce(withInstance("i2")), ShouldEqual, http.StatusCreated)
+			So(f.announce(withInstance("i1")), ShouldEqual, http.StatusConflict)
+			So(f.announce(withInstance("i2")), ShouldEqual, http.StatusOK)
+		})
+		Convey("it has drained and expired: it does not come back", func() {
+			So(f.request(http.MethodPost, "/v1/endpoints/e1/drain", "", "127.0.0.1:5"), ShouldEqual, http.StatusNoContent)
+			f.now = f.now.Add(2 * time.Second)
+			f.Sweep()
+			So(f.announce(withInstance("i1")), ShouldEqual, http.StatusConflict)
+		})
+		Convey("it has expired without leaving: it comes back", func() {
+			f.now = f.now.Add(2 * time.Second)
+			f.Sweep()
+			So(isRegistered(f), ShouldBeFalse)
+			So(f.announce(withInstance("i1")), ShouldEqual, http.StatusCreated)
+		})
+		Convey("many processes withdraw: a bounded number is kept, the latest", func() {
+			withdraw(f)
+			for i := range 1000 {
+				So(f.announce(withInstance(fmt.Sprint("n", i))), ShouldEqual, http.StatusCreated)
+				withdraw(f)
+			}
+			So(f.announce(withInstance("n999")), ShouldEqual, http.StatusConflict)
+			So(len(f.withdrawals), ShouldBeLessThan, 100)
+		})
+	})
+	Convey("Given an endpoint that states no instance and has withdrawn", t, func() {
+		f := newFixture()
+		So(f.announce(validBody), ShouldEqual, http.StatusCreated)
+		withdraw(f)
+		Convey("its announcements are rejected while one from before is valid", func() {
+			f.now = f.now.Add(900 * time.Millisecond)
+			So(f.announce(validBody), ShouldEqual, http.StatusConflict)
+			So(isRegistered(f), ShouldBeFalse)
+			Convey("a successor at its address is registered after that", func() {
+				f.now = f.now.Add(100 * time.Millisecond)
+				So(f.announce(validBody), ShouldEqual, http.StatusCreated)
+			})
+		})
+		Convey("an endpoint at another address is registered at once", func() {
+			So(f.announce(strings.Replace(validBody, "9001", "9002", 1)), ShouldEqual, http.StatusCreated)
+		})
+	})
+}
+
 // Guards against announcements from other hosts and against invalid ones.
 func TestRejectedAnnouncements(t *testing.T) {
 	Convey("Invalid announcements and those from other hosts are rejected", t, func() {
--- a/endpoints/registry.go
+++ b/endpoints/registry.go
@@ -43,10 +43,15 @@
 var eventMetricsNotRemoved = events.Define(2106, hclog.Warn, "metrics of an endpoint not removed",
 	"The metrics of a removed endpoint stay visible until the node restarts.")
 
+var eventLate = events.Define(2107, hclog.Info, "late announcement of an endpoint rejected",
+	"The process had withdrawn, drained or been replaced. A successor at its address should state another instance.")
+
 // Errors of the registry.
 var (
 	ErrUnknown  = errors.New("endpoints: no such endpoint")
 	ErrDraining = errors.New("endpoints: host is draining")
+	// ErrWithdrawn means that the process has withdrawn or was replaced.
+	ErrWithdrawn = errors.New("endpoints: process has left")
 )
 
 // Config configures a Registry. Zero fields have defaults.
@@ -70,6 +75,7 @@
 	services     map[mesh.ServiceName]*lists.Service
 	draining     bool
 	lastNotified []membership.Endpoint
+	withdrawals  withdrawals
 }
 
 // Endpoint is an announced process and its gate.
@@ -132,7 +138,8 @@
 
 // Announce adds or renews an endpoint and reports whether it is new. An announcement
 // of another process replaces the endpoint. A draining endpoint stays draining when
-// it renews; a draining registry rejects new endpoints with ErrDraining.
+// it renews; a draining registry rejects new endpoints with ErrDraining. An announcement that
+// a process sent before it left is rejected with ErrWithdrawn.
 func (r *Registry) Announce(id mesh.EndpointID, a Announcement) (created bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -145,7 +152,12 @@
 	if r.draining {
 		return false, ErrDraining
 	}
+	if refusedFor, isLate := r.withdrawals.isLate(id, &a, now); isLate {
+		eventLate.Log(r.cfg.Logger, "endpoint", id, "address", a.Address, "instance", a.Instance)
+		return false, &withdrawnError{id: id, retryAfter: refusedFor}
+	}
 	if ok {
+		r.withdrawals.add(existing, now)
 		r.remove(existing)
 		eventReplaced.Log(r.cfg.Logger, "endpoint", id, "address", a.Address)
 	}
@@ -240,6 +252,7 @@
 	if !ok {
 		return errors.Wrapf(ErrUnknown, "%s", id)
 	}
+	r.withdrawals.add(e, r.cfg.Now())
 	r.remove(e)
 	eventWithdrawn.Log(r.cfg.Logger, "endpoint", id)
 	r.notifyChange(r.cfg.Now())
@@ -265,6 +278,9 @@
 		if now.Before(e.expiresAt) {
 			continue
 		}
+		if e.Draining() {
+			r.withdrawals.add(e, now)
+		}
 		r.remove(e)
 		eventExpired.Log(r.cfg.Logger, "endpoint", e.ID, "ttl", e.Announcement().ttl())
 	}
