localendpoint, proxy: names of fields that are no token are malformed

Cause: http.ReadResponse takes a blank in the name of a field, in a head and in a trailer, and keeps the field under that name, so that nothing that looks for the length finds it. Both programs read responses with it.

Names with unusual characters that a token may have are passed on.

--- a/callmux/malformed_test.go
+++ b/callmux/malformed_test.go
@@ -72,6 +72,19 @@
 	}
 }
 
+// Guards against a field whose name is no token and that an earlier program passes on. It
+// costs the call, not the link.
+func TestMalformedFieldNames(t *testing.T) {
+	for name, want := range map[string]call.AttemptOutcome{"Content-Length ": call.Broken, "X A": call.Broken, "X\r\nA": call.Broken, "": call.Broken, "x!#$%&'*+-.^_`|~": call.Answered} {
+		Convey(strconv.Quote(name), t, func() {
+			mux, o, _ := newStreams()
+			_, err := mux.Handle(newMessage(transport.KindResponseHead, headFrame{Stream: 1, Status: http.StatusOK, Header: []string{"A", "b", name, "c"}}))
+			So(err, ShouldBeNil)
+			So(mux.finishRun(1, o, <-o.result).Outcome, ShouldEqual, want)
+		})
+	}
+}
+
 // FuzzMessages guards against a panic, and against results that callers cannot use, whatever
 // a peer sends for a call in progress.
 func FuzzMessages(f *testing.F) {
--- a/callmux/mux.go
+++ b/callmux/mux.go
@@ -14,6 +14,7 @@
 	"geraniumnotch.example/geraniumnotch/call"
 	"geraniumnotch.example/geraniumnotch/heldmemory"
 	"geraniumnotch.example/geraniumnotch/hostlink"
+	"geraniumnotch.example/geraniumnotch/internal/fieldname"
 	"geraniumnotch.example/geraniumnotch/internal/statuscode"
 	"geraniumnotch.example/geraniumnotch/transport"
 )
@@ -213,7 +214,7 @@
 // finishRun ends the stream, unless a response body follows: then Close of that body
 // ends it.
 func (m *Mux) finishRun(id uint64, o *outgoing, result call.Result) call.Result {
-	if result.Response != nil && !statuscode.IsFinal(result.Response.Status) {
+	if result.Response != nil && (!statuscode.IsFinal(result.Response.Status) || fieldname.Check(result.Response.Header) != nil) {
 		// Earlier programs pass such a response of an endpoint on.
 		m.removeOutgoing(id)
 		if result.Response.Stream != nil {
--- a/localendpoint/exchange.go
+++ b/localendpoint/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"geraniumnotch.example/geraniumnotch/call"
+	"geraniumnotch.example/geraniumnotch/internal/fieldname"
 	"geraniumnotch.example/geraniumnotch/internal/statuscode"
 )
 
@@ -28,9 +29,6 @@
 	// inlineBodyBytes is the largest request body that is written together with the
 	// head, before the response is read.
 	inlineBodyBytes = 4 << 10
-	// maxResponseHeadBytes bounds the status line and the headers of a response, which
-	// net/http buffers without a limit of its own. The proxy has the same limit.
-	maxResponseHeadBytes = 64 << 10
 	// maxUnrelatedResponses bounds the responses to other calls that are skipped.
 	maxUnrelatedResponses = 8
 	// maxSkippedBodyBytes bounds the body of a response to another call. The call waits
@@ -228,9 +226,7 @@
 		if reason, err := x.waitForResponse(); err != nil {
 			return x.fail(ctx, reason, err)
 		}
-		x.conn.limited.SetLimit(maxResponseHeadBytes)
-		response, err := http.ReadResponse(x.conn.r, request)
-		x.conn.limited.RemoveLimit()
+		response, err := x.conn.readResponse(request)
 		if err != nil {
 			return x.fail(ctx, call.ReasonResponseMalformed, err)
 		}
@@ -338,7 +334,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes+1))
 	if err != nil {
-		return x.fail(ctx, call.ReasonResponseTruncated, err)
+		return x.fail(ctx, bodyFailureReason(err), err)
 	}
 	if len(body) > maxBufferedResponseBytes {
 		return x.finishLongResponse(ctx, response, body)
@@ -348,6 +344,14 @@
 	return call.Result{Outcome: call.Answered, Sent: true, Response: a}
 }
 
+// bodyFailureReason returns the reason of an error of a response body.
+func bodyFailureReason(err error) string {
+	if errors.Is(err, fieldname.ErrInvalid) {
+		return call.ReasonResponseMalformed
+	}
+	return call.ReasonResponseTruncated
+}
+
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
@@ -394,7 +398,7 @@
 func (x *exchange) finishLongResponse(ctx context.Context, response *http.Response, prefix []byte) call.Result {
 	r := x.streamResponse(response, prefix)
 	if err := x.gate.buffers.ReadWhole(ctx, r.Response); err != nil {
-		return x.fail(ctx, call.ReasonResponseTruncated, err)
+		return x.fail(ctx, bodyFailureReason(err), err)
 	}
 	return r
 }
--- a/localendpoint/healthcheck.go
+++ b/localendpoint/healthcheck.go
@@ -33,8 +33,7 @@
 	if _, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: "+address+"\r\nConnection: close\r\n\r\n"); err != nil {
 		return "", err
 	}
-	conn.limited.SetLimit(maxResponseHeadBytes)
-	response, err := http.ReadResponse(conn.r, &http.Request{Method: http.MethodGet})
+	response, err := conn.readResponse(&http.Request{Method: http.MethodGet})
 	if err != nil {
 		return "", err
 	}
--- a/proxy/gate.go
+++ b/proxy/gate.go
@@ -209,15 +209,16 @@
 		}
 		return errors.Wrap(conn.Close(), "proxy: close probe connection")
 	}
-	out := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: a.Address, Path: a.HealthPath}, Header: http.Header{}}
+	x, out := newExchange(ctx, nil)
+	out.Method, out.URL, out.Header = http.MethodGet, &url.URL{Scheme: "http", Host: a.Address, Path: a.HealthPath}, http.Header{}
 	(&requestBody{}).attach(out)
-	resp, err := g.pools.get(a.Address).RoundTrip(out.WithContext(ctx))
-	if err != nil {
-		return errors.Wrap(err, "proxy: request the health path of the endpoint")
+	x.send(g.pools, out)
+	if x.err != nil {
+		return errors.Wrap(x.err, "proxy: request the health path of the endpoint")
 	}
-	_ = resp.Body.Close()
-	if resp.StatusCode >= http.StatusBadRequest {
-		return errors.Newf("proxy: health path of the endpoint returned status %d", resp.StatusCode)
+	_ = x.resp.Body.Close()
+	if x.resp.StatusCode >= http.StatusBadRequest {
+		return errors.Newf("proxy: health path of the endpoint returned status %d", x.resp.StatusCode)
 	}
 	return nil
 }
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"geraniumnotch.example/geraniumnotch/internal/fieldname"
 )
 
 // maxBufferedResponseBytes is the largest response body that is read completely before
@@ -193,6 +195,9 @@
 	if err := i.count(header); err != nil {
 		return err
 	}
+	if err := fieldname.Check(header); err != nil {
+		return err
+	}
 	if code == http.StatusContinue || code == http.StatusSwitchingProtocols {
 		return nil
 	}
