localendpoint: endpoints that start together with their node wait for nothing

Cause: the comparison of the starts was exact.

Change: an endpoint that started less than 1 s before the process needs no confirmation.

Evidence: the new cases of TestDeparturesBeforeTheStartOfTheProcess; the first one fails without the change. The cases of the registration now start at 5000 ms in place of 1000 ms, so that their endpoints are older by more than that second.

--- a/localendpoint/confirmation.go
+++ b/localendpoint/confirmation.go
@@ -19,6 +19,9 @@
 	// 1.5 s; delayed ones of an endpoint that has left come to an end.
 	steadyTime     = 5 * time.Second
 	maxSteadyPause = 2500 * time.Millisecond
+	// minLifetime is the time within which an endpoint is assumed not to start and to leave
+	// again. Endpoints are often started together with their host, and may be first.
+	minLifetime = time.Second
 	// maxIncarnations bounds the incarnations that are kept here. One endpoint at a time
 	// has the address.
 	maxIncarnations = 64
@@ -53,8 +56,8 @@
 // observe records an announcement that arrived now. It reports whether the incarnation is
 // confirmed.
 func (c *confirmations) observe(a Announcement, now boottime.Time, timeOfDayMs int64) bool {
-	startedAfterProcess := a.StartedAtMs >= c.startedAtMs && a.StartedAtMs <= timeOfDayMs
-	if startedAfterProcess || now-c.startedAt >= maxAnnouncementDelay || slices.Contains(c.confirmed, a.incarnation()) {
+	isRecent := a.StartedAtMs > c.startedAtMs-minLifetime.Milliseconds() && a.StartedAtMs <= timeOfDayMs
+	if isRecent || now-c.startedAt >= maxAnnouncementDelay || slices.Contains(c.confirmed, a.incarnation()) {
 		return true
 	}
 	i := slices.IndexFunc(c.pending, func(p pendingIncarnation) bool { return p.latest.incarnation() == a.incarnation() })
--- a/localendpoint/registration.go
+++ b/localendpoint/registration.go
@@ -200,7 +200,7 @@
 
 // RequireConfirmation defers the announcements of endpoints that started before this
 // process did, at the time of day startedAt, until it is confirmed that they had not left
-// by then. It must be called before the first announcement.
+// by then. Endpoints that started less than minLifetime before it need none. It must be called before the first announcement.
 func (r *Registration) RequireConfirmation(startedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/localendpoint/registration_test.go
+++ b/localendpoint/registration_test.go
@@ -206,9 +206,9 @@
 // process ran, against one that stays registered when its departure becomes known, and
 // against one that lives and stays out.
 func TestDeparturesBeforeTheStartOfTheProcess(t *testing.T) {
-	Convey("a registration of a process that started at 1000 ms", t, func() {
+	Convey("a registration of a process that started at 5000 ms", t, func() {
 		now, changes := 10*time.Second, 0
-		const processStart = 1000
+		const processStart = 5000
 		timeOfDay := time.UnixMilli(processStart)
 		r := localendpoint.NewRegistration(identity, func() time.Duration { return now }, func(*localendpoint.Endpoint) { changes++ })
 		r.TimeOfDay = func() time.Time { return timeOfDay }
@@ -258,6 +258,12 @@
 			pass(time.Second)
 			So(r.Announce(announcement("b", processStart+1000, 1)), ShouldEqual, localendpoint.NewIncarnation)
 		})
+		Convey("registers one that started together with the process, but first", func() {
+			So(r.Announce(announcement("b", processStart-999, 1)), ShouldEqual, localendpoint.NewIncarnation)
+		})
+		Convey("defers one that started before that", func() {
+			So(r.Announce(announcement("b", processStart-1000, 1)), ShouldEqual, localendpoint.Deferred)
+		})
 		Convey("defers one with a start that lies ahead: the time of day was set back", func() {
 			So(r.Announce(announcement("b", processStart+1000, 1)), ShouldEqual, localendpoint.Deferred)
 		})
