--- a/review/rig3/host.go
+++ b/review/rig3/host.go
@@ -25,20 +25,29 @@
 	ended                                                                    chan struct{}
 }
 
+// firstPort is below the ports that the kernel gives to outgoing connections.
+const firstPort = 10000
+
 // freeAddress returns a loopback address with a port that nothing uses.
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		abandon(err)
+func (r *rig) freeAddress() string {
+	pid := os.Getpid()
+	for ; r.ports < 20000; r.ports++ {
+		address := fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&63, pid>>8&255, pid&255, firstPort+r.ports)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = l.Close()
+			r.ports++
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	abandon(fmt.Errorf("no free port"))
+	return ""
 }
 
 func (r *rig) newHost(name, domain, service string) *host {
 	h := &host{rig: r, name: name, domain: domain, service: service}
 	for _, address := range []*string{&h.endpoint, &h.calls, &h.peers, &h.ready, &h.announcements, &h.metrics, &h.advertised, &h.store} {
-		*address = freeAddress()
+		*address = r.freeAddress()
 	}
 	h.peerProxy = newProxy(h.advertised, h.peers)
 	h.storeProxy = newProxy(h.store, r.kv.Address())
@@ -72,6 +81,7 @@
 repeat-slack = 58
 repeat-window-s = 10
 `, name, domain, service, h.endpoint, h.calls, h.peers, h.advertised, h.ready, h.announcements, h.metrics, h.store)
+	text += r.extraBounds
 	if err := os.WriteFile(h.settings(), []byte(text), 0o600); err != nil {
 		abandon(err)
 	}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -24,6 +24,10 @@
 	kv      *standin.Store
 	hosts   []*host
 	trouble bool
+	// extraBounds is added to the bounds in the settings of the hosts.
+	extraBounds string
+	// ports is the number of ports that have been tried.
+	ports int
 
 	mu sync.Mutex
 }
