--- a/review/rig3/host.go
+++ b/review/rig3/host.go
@@ -125,7 +125,7 @@
 func (h *host) awaitReady(limit time.Duration) {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		response, err := client.Get("http://" + h.ready + "/readiness")
+		response, err := client.Get("http://" + h.ready + wire.Readiness)
 		if err != nil {
 			continue
 		}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -100,7 +100,7 @@
 	seen := map[string]bool{}
 	for _, x := range routes {
 		entries = append(entries, map[string]any{
-			"name": "r-" + x.path, "host": "h.example", "path-prefix": "/" + x.path + "/", "route-type": x.kind, "timeout-ms": timeoutMs,
+			"name": "r-" + x.path, "host": "h.example", "path-prefix": "/" + x.path + "/", wire.RouteType: x.kind, "timeout-ms": timeoutMs,
 			"target-latency-ms": 500, "priority": 0, "service": x.service, "max-attempts": 2,
 		})
 		if !seen[x.service] {
@@ -143,8 +143,8 @@
 		abandon(err)
 	}
 	request.Host = "h.example"
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	request.Header.Set(wire.RequestID, id)
+	request.Header.Set(wire.Deadline, fmt.Sprint(deadline.Milliseconds()))
 	c.host.rig.log("client of %s sends %s", c.host.name, id)
 	client := *c.http
 	client.Timeout = deadline + 500*time.Millisecond
--- a/review/rig3/quota.go
+++ b/review/rig3/quota.go
@@ -28,7 +28,7 @@
 	value, err := json.Marshal(map[string]any{
 		"version": "00000001",
 		"routes": []map[string]any{{
-			"name": "r-one", "host": "h.example", "path-prefix": "/one/", "route-type": "safe", "timeout-ms": 2000,
+			"name": "r-one", "host": "h.example", "path-prefix": "/one/", wire.RouteType: "safe", "timeout-ms": 2000,
 			"target-latency-ms": 800, "priority": 0, "service": "one", "max-attempts": 2,
 		}},
 		"services": []map[string]any{{"name": "one", "health-path": "/health", "max-connections": 450}},
@@ -64,9 +64,9 @@
 				abandon(err)
 			}
 			request.Host = "h.example"
-			request.Header.Set("Request-Id", id)
-			request.Header.Set("Deadline-Ms", "1500")
-			request.Header.Set("Credential", "key")
+			request.Header.Set(wire.RequestID, id)
+			request.Header.Set(wire.Deadline, "1500")
+			request.Header.Set(wire.Credential, "key")
 			sentAt := time.Now()
 			l.mu.Lock()
 			l.sent[id] = sentAt
--- a/review/rig3/stream.go
+++ b/review/rig3/stream.go
@@ -46,9 +46,9 @@
 	var garbles atomic.Bool
 	var broken atomic.Int64
 	lists.serve = func(w http.ResponseWriter, request *http.Request) {
-		id := request.Header.Get("Request-Id")
+		id := request.Header.Get(wire.RequestID)
 		time.Sleep(40 * time.Millisecond)
-		w.Header().Set("Response-Stamp", "stamp-"+id)
+		w.Header().Set(wire.Stamp, "stamp-"+id)
 		w.Header().Set("Content-Length", fmt.Sprint(listBytes))
 		if garbles.Load() && rand.Float64() < brokenShare {
 			broken.Add(1)
@@ -120,7 +120,7 @@
 			}
 			x := &pipelined{id: fmt.Sprintf("%s-%d-%s%d", name, round, service, i)}
 			batch = append(batch, x)
-			fmt.Fprintf(&text, "GET /%s/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\n\r\n", service, x.id)
+			fmt.Fprintf(&text, "GET /%s/x HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: 3000\r\n\r\n", service, wire.RequestID, x.id, wire.Deadline)
 			h.rig.log("client sends %s", x.id)
 		}
 		all = append(all, batch...)
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -53,17 +53,17 @@
 }
 
 func (w *worker) handle(rw http.ResponseWriter, r *http.Request) {
-	rw.Header().Set("Instance-Id", w.id)
+	rw.Header().Set(wire.InstanceID, w.id)
 	if r.URL.Path == "/health" {
 		if w.leaves.Load() {
 			rw.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
-	id := r.Header.Get("Request-Id")
-	rw.Header().Set("Request-Id", id)
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != w.id {
-		rw.Header().Set("Not-Executed", "1")
+	id := r.Header.Get(wire.RequestID)
+	rw.Header().Set(wire.RequestID, id)
+	if expected := r.Header.Get(wire.ExpectInstance); expected != "" && expected != w.id {
+		rw.Header().Set(wire.NotExecuted, "1")
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -78,7 +78,7 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body) // A truncated body is not judged here.
 	time.Sleep(w.work)
-	rw.Header().Set("Response-Stamp", "stamp-"+id)
+	rw.Header().Set(wire.Stamp, "stamp-"+id)
 	_, _ = fmt.Fprintf(rw, "answer to %s by %s", id, w.id) // The caller may have left.
 }
 
@@ -97,8 +97,8 @@
 // heartbeat returns the next heartbeat.
 func (w *worker) heartbeat(state string) (path, body string) {
 	return "/instances/" + w.id + "/heartbeat", fmt.Sprintf(
-		`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":12},"status":{"state":%q,"sequence":%d,"cold-remaining-ms":0}}`,
-		w.host.endpoint, w.born, w.host.service, w.host.domain, state, w.sequence.Add(1))
+		`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":12},"status":{"state":%q,"sequence":%d,%q:0}}`,
+		w.host.endpoint, w.born, w.host.service, w.host.domain, state, w.sequence.Add(1), wire.ColdRemaining)
 }
 
 // beat sends a heartbeat and reports whether it was acknowledged.
